--- /dev/null
+++ b/cmake/Packages.cmake
@@ -0,0 +1,38 @@
+# Declares the library of one package: its headers in include/, its sources in src/.
+#   tamarackspan_package(NAME SOURCES a.cpp ... LINKS target ...)
+function(tamarackspan_package name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    list(TRANSFORM ARG_SOURCES PREPEND src/)
+    if(ARG_SOURCES)
+        add_library(tamarackspan_${name} STATIC ${ARG_SOURCES})
+        target_include_directories(tamarackspan_${name} PUBLIC include PRIVATE src)
+        target_link_libraries(tamarackspan_${name} PUBLIC ${ARG_LINKS})
+    else()
+        add_library(tamarackspan_${name} INTERFACE)
+        target_include_directories(tamarackspan_${name} INTERFACE include)
+        target_link_libraries(tamarackspan_${name} INTERFACE ${ARG_LINKS})
+    endif()
+    add_library(tamarackspan::${name} ALIAS tamarackspan_${name})
+endfunction()
+
+# Declares one test program of the current package, run by ctest under its own name.
+#   tamarackspan_test(NAME SOURCES a_test.cpp ... LINKS target ... [LABELS label ...] [TIMEOUT seconds])
+function(tamarackspan_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINKS;LABELS" ${ARGN})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 120)
+    endif()
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_LINKS} GTest::gtest GTest::gtest_main)
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}"
+        ENVIRONMENT "RC_PARAMS=seed=20261204")
+endfunction()
+
+# Declares one bench: a program that prints its figures and is not run by ctest.
+#   tamarackspan_bench(NAME SOURCES a.cpp ... LINKS target ...)
+function(tamarackspan_bench name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_LINKS})
+endfunction()
--- /dev/null
+++ b/packages/contracts/include/tamarackspan/contracts/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace tamarackspan::contracts {
+
+struct Contract;
+struct Limits;
+struct Operation;
+struct Leaf;
+struct Service;
+struct Shard;
+
+} // namespace tamarackspan::contracts
--- /dev/null
+++ b/packages/transport/tests/event_loop_test.cpp
@@ -0,0 +1,72 @@
+#include "tamarackspan/transport/event_loop.h"
+
+#include "tamarackspan/base/clock.h"
+
+#include <gtest/gtest.h>
+#include <sys/epoll.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+using tamarackspan::base::monotonicNow;
+using tamarackspan::transport::EventLoop;
+
+TEST(EventLoop, RunsTimersInOrderOfTheirTimes)
+{
+    auto loop = EventLoop();
+    auto order = std::vector<int>();
+    const auto start = monotonicNow();
+    loop.runAt(start + absl::Milliseconds(20), [&] {
+        order.push_back(2);
+        loop.stop();
+    });
+    loop.runAt(start + absl::Milliseconds(5), [&] {
+        order.push_back(1);
+    });
+    const auto forgotten = loop.runAt(start + absl::Milliseconds(7), [&] {
+        order.push_back(3);
+    });
+    loop.cancelTimer(forgotten);
+    loop.run();
+    EXPECT_EQ(order, (std::vector<int>{1, 2}));
+    EXPECT_GE(monotonicNow() - start, absl::Milliseconds(20));
+}
+
+TEST(EventLoop, RunsPostedTasksOfOtherThreadsBeforeItStops)
+{
+    auto loop = EventLoop();
+    auto sum = 0;
+    auto other = std::thread([&] {
+        for (auto i = 0; i < 1000; ++i) {
+            loop.post([&sum] {
+                ++sum;
+            });
+        }
+        loop.stop();
+    });
+    loop.run();
+    other.join();
+    EXPECT_EQ(sum, 1000);
+}
+
+TEST(EventLoop, AHandlerMayEndItsOwnWatch)
+{
+    auto loop = EventLoop();
+    auto fds = std::vector<int>(2);
+    ASSERT_EQ(pipe(fds.data()), 0);
+    auto calls = 0;
+    loop.watch(fds[0], EPOLLIN, [&](std::uint32_t) {
+        ++calls;
+        loop.unwatch(fds[0]);
+        loop.stop();
+    });
+    ASSERT_EQ(write(fds[1], "x", 1), 1);
+    loop.run();
+    EXPECT_EQ(calls, 1);
+    close(fds[0]);
+    close(fds[1]);
+}
+
+} // namespace
