Add the inner protocol and the links that carry it

Cause: hosts need one framed protocol between each other before entry and leaf owner can be parted. Ruled out: hand-written message structs beside the generated ones; the schema compiler's object interface already gives plain comparable structs. Before: a loop run a second time returned at once, so a test of a silent link saw no reply; EventLoop::run now starts afresh.

--- a/packages/transport/include/tamarackspan/transport/event_loop.h
+++ b/packages/transport/include/tamarackspan/transport/event_loop.h
@@ -43,7 +43,7 @@
     /// Runs a task soon on the loop's thread. Callable from any thread.
     auto post(Task task) -> void;
 
-    /// Handles events until stop() is called. Tasks posted before stop() are still run.
+    /// Handles events until stop() is called. Tasks posted before stop() are still run. May be called again.
     auto run() -> void;
 
     /// Makes run() return soon. Callable from any thread.
--- /dev/null
+++ b/packages/transport/include/tamarackspan/transport/link.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "tamarackspan/base/ids.h"
+#include "tamarackspan/transport/frame_connection.h"
+#include "tamarackspan/wire/codec.h"
+
+#include "absl/time/time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::transport {
+
+/// Who this process says it is on its links.
+struct LinkIdentity
+{
+    base::HostId host;
+    base::Incarnation incarnation;
+    base::DataCentre dataCentre;
+    wire::Channel channel = wire::Channel::Traffic;
+};
+
+/// The times that keep links honest.
+struct LinkTiming
+{
+    /// How often a heartbeat is sent on each link.
+    absl::Duration heartbeat = absl::Milliseconds(500);
+    /// A link on which nothing came in for this long is closed.
+    absl::Duration silenceLimit = absl::Seconds(2);
+    /// A peer whose link failed isn't tried again before this time has passed.
+    absl::Duration retryAfter = absl::Milliseconds(250);
+};
+
+/// One connection to or from a peer after (or awaiting) the exchange of Hello messages.
+class Link
+{
+public:
+    /// True if this process opened the connection.
+    [[nodiscard]] auto isOutgoing() const noexcept -> bool
+    {
+        return this->outgoing;
+    }
+
+    /// The peer's host id.
+    [[nodiscard]] auto host() const noexcept -> const base::HostId &
+    {
+        return this->peer;
+    }
+
+    /// The peer's incarnation; zero until its Hello has come.
+    [[nodiscard]] auto peerIncarnation() const noexcept -> base::Incarnation
+    {
+        return this->incarnation;
+    }
+
+    /// True if the peer has said that it is leaving.
+    [[nodiscard]] auto peerDraining() const noexcept -> bool
+    {
+        return this->draining;
+    }
+
+    /// True once the peer's Hello has come and while the connection is open.
+    [[nodiscard]] auto isUp() const noexcept -> bool
+    {
+        return this->greeted && this->connection->isOpen();
+    }
+
+    /// Sends a frame; before the peer's Hello it is kept back. Returns false if the link is closed or too much is waiting.
+    auto send(std::string frame) -> bool;
+
+private:
+    friend class PeerLinks;
+
+    bool outgoing = false;
+    bool greeted = false;
+    bool draining = false;
+    base::HostId peer;
+    base::Incarnation incarnation;
+    std::shared_ptr<FrameConnection> connection;
+    std::vector<std::string> heldBack;
+    std::size_t heldBackBytes = 0;
+};
+
+using LinkPtr = std::shared_ptr<Link>;
+
+} // namespace tamarackspan::transport
--- /dev/null
+++ b/packages/transport/include/tamarackspan/transport/peer_links.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "tamarackspan/transport/link.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace tamarackspan::transport {
+
+/// The links of one loop's thread to and from other hosts. Outgoing links are opened when first used and closed when silent; heartbeats run on all.
+class PeerLinks
+{
+public:
+    struct Handlers
+    {
+        /// A message other than Hello came in; Heartbeat messages come here too.
+        std::function<void(const LinkPtr &, wire::MessageT)> onMessage;
+        /// A link was lost; what was sent on it may or may not have arrived.
+        std::function<void(const LinkPtr &, std::string_view reason)> onDown;
+        /// Fills in what this process says in its heartbeats.
+        std::function<void(wire::HeartbeatT &)> fillHeartbeat;
+    };
+
+    PeerLinks(EventLoop &loop, LinkIdentity identity, LinkTiming timing, Handlers handlers);
+    ~PeerLinks();
+    PeerLinks(const PeerLinks &) = delete;
+    auto operator=(const PeerLinks &) -> PeerLinks & = delete;
+
+    /// Returns the outgoing link to a host, opening one if there is none. Returns null if the last one failed less than LinkTiming::retryAfter ago or the
+    /// address is no good.
+    [[nodiscard]] auto to(const base::HostId &peer) -> LinkPtr;
+
+    /// Returns whether a link to the host is up or being opened, without opening one.
+    [[nodiscard]] auto isReachable(const base::HostId &peer) const -> bool;
+
+    /// Returns whether the host has said on any link that it is draining.
+    [[nodiscard]] auto isDraining(const base::HostId &peer) const -> bool;
+
+    /// Takes over an incoming connection whose Hello has been read.
+    auto adopt(FrameConnection::Detached detached, const wire::HelloT &hello) -> void;
+
+    /// From now on Hello and heartbeats say that this host is draining; says so at once on all links.
+    auto startDraining() -> void;
+
+    /// Returns how many links are open, both ways.
+    [[nodiscard]] auto openLinks() const -> std::size_t;
+
+private:
+    struct Backoff
+    {
+        absl::Time until;
+    };
+
+    [[nodiscard]] auto hello() const -> wire::HelloT;
+    auto startLink(const LinkPtr &link) -> void;
+    auto onMessage(const LinkPtr &link, wire::MessageT message) -> void;
+    auto onHello(const LinkPtr &link, const wire::HelloT &hello) -> void;
+    auto drop(const LinkPtr &link, std::string_view reason) -> void;
+    auto beat() -> void;
+    auto sendHeartbeat(const LinkPtr &link) -> void;
+    auto scheduleBeat() -> void;
+
+    EventLoop &loop;
+    LinkIdentity identity;
+    LinkTiming timing;
+    Handlers handlers;
+    bool draining = false;
+    std::uint64_t beats = 0;
+    TimerId beatTimer = 0;
+    absl::flat_hash_map<base::HostId, LinkPtr> outgoing;
+    absl::flat_hash_set<LinkPtr> incoming;
+    absl::flat_hash_map<base::HostId, Backoff> backoffs;
+};
+
+} // namespace tamarackspan::transport
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -179,6 +179,7 @@
         this->state->runTimers();
         const auto lock = std::lock_guard(this->state->mutex);
         if (this->state->stopping && this->state->posted.empty()) {
+            this->state->stopping = false;
             return;
         }
     }
--- /dev/null
+++ b/packages/transport/src/link.cpp
@@ -0,0 +1,26 @@
+#include "tamarackspan/transport/link.h"
+
+#include <utility>
+
+namespace tamarackspan::transport {
+
+namespace {
+
+constexpr auto maxHeldBackBytes = std::size_t{8} << 20U;
+
+} // namespace
+
+auto Link::send(std::string frame) -> bool
+{
+    if (this->greeted) {
+        return this->connection->send(frame);
+    }
+    if (!this->connection->isOpen() || this->heldBackBytes + frame.size() > maxHeldBackBytes) {
+        return false;
+    }
+    this->heldBackBytes += frame.size();
+    this->heldBack.push_back(std::move(frame));
+    return true;
+}
+
+} // namespace tamarackspan::transport
--- /dev/null
+++ b/packages/wire/include/tamarackspan/wire/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace tamarackspan::wire {
+
+class FrameReader;
+struct MessageT;
+
+} // namespace tamarackspan::wire
