--- a/packages/query/include/tamarackspan/query/query_machine.h
+++ b/packages/query/include/tamarackspan/query/query_machine.h
@@ -1,83 +1,31 @@
 #pragma once
 
-#include "tamarackspan/base/ids.h"
-#include "tamarackspan/contracts/operation.h"
+#include "tamarackspan/query/query_actions.h"
+#include "tamarackspan/query/query_state.h"
 
 #include "absl/time/time.h"
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <variant>
 #include <vector>
 
 namespace tamarackspan::query {
 
-/// What one query reads from: a version of the index and a generation of the shard map. Every leaf request of the query carries both.
-struct Pin
-{
-    base::IndexVersion indexVersion;
-    base::Revision mapGeneration;
+/// Starts a query: pins a snapshot and sends the first request for each shard. Appends what is to be done to `actions`, in order. Exactly one Finish comes over
+/// the life of the query, as the last action; it may come at once.
+[[nodiscard]] auto startQuery(const QueryRequest &request, QueryContext &context, absl::Time now, std::vector<Action> &actions) -> QueryState;
 
-    friend auto operator==(const Pin &, const Pin &) -> bool = default;
-};
+/// Takes in a reply. One that fails acceptReply is counted and otherwise ignored, but for rows of another snapshot, which count as NotHeld.
+auto onReply(QueryState &state, QueryContext &context, const LeafReply &reply, absl::Time now, std::vector<Action> &actions) -> void;
 
-/// How one leaf request ended, as the entry sees it.
-enum class LeafOutcome {
-    /// The leaf answered for the whole shard from the pin.
-    Complete,
-    /// The leaf answered for a part of the shard only: never counts as covered.
-    Partial,
-    /// The leaf doesn't hold the pin's index version or the shard; nothing was run.
-    NotHeld,
-    /// The leaf or its owner shed the request; nothing was run.
-    Shed,
-    /// The leaf is leaving; nothing was run.
-    Draining,
-    /// The deadline passed before the leaf answered.
-    TimedOut,
-    /// The connection failed, or the reply was not to this request.
-    Failed,
-    /// The attempt was cancelled.
-    Cancelled,
-};
+/// Hedges what is due and finishes the query at its deadline. To be called at nextWake; earlier or more often does no harm.
+auto onTimer(QueryState &state, QueryContext &context, absl::Time now, std::vector<Action> &actions) -> void;
 
-/// One leaf request to be sent.
-struct SendAttempt
-{
-    base::AttemptId attempt;
-    base::ShardId shard;
-    base::LeafId leaf;
-    /// True if this attempt is in the extra load: a hedge or a retry.
-    bool extra = false;
+/// Ends the query because nobody waits for its answer: cancels what is open and finishes.
+auto onCallerLeft(QueryState &state, QueryContext &context, absl::Time now, std::vector<Action> &actions) -> void;
 
-    friend auto operator==(const SendAttempt &, const SendAttempt &) -> bool = default;
-};
+/// Returns when onTimer is due; the infinite future once the query is over.
+[[nodiscard]] auto nextWake(const QueryState &state) -> absl::Time;
 
-/// One leaf request that is no longer wanted.
-struct CancelAttempt
-{
-    base::AttemptId attempt;
-    base::LeafId leaf;
-
-    friend auto operator==(const CancelAttempt &, const CancelAttempt &) -> bool = default;
-};
-
-/// The query is over; no further action follows. The rows are those of the attempts named.
-struct Finish
-{
-    Pin pin;
-    /// For each covered shard, the one attempt whose rows count.
-    std::vector<base::AttemptId> accepted;
-    std::uint32_t shardsTotal = 0;
-    std::vector<base::ShardId> missing;
-    /// The coverage is below the floor of the operation and the operation refuses such answers.
-    bool refused = false;
-
-    friend auto operator==(const Finish &, const Finish &) -> bool = default;
-};
-
-/// What the shell must do, in order.
-using Action = std::variant<SendAttempt, CancelAttempt, Finish>;
+/// Tells whether a reply belongs to an attempt of the query that is still open, names its shard, and if it has rows, comes from its snapshot.
+[[nodiscard]] auto acceptReply(const QueryState &state, const LeafReply &reply) -> ReplyCheck;
 
 } // namespace tamarackspan::query
--- /dev/null
+++ b/packages/routing/src/leaf_table.cpp
@@ -0,0 +1,296 @@
+#include "tamarackspan/routing/leaf_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackspan::routing {
+
+namespace {
+
+/// Samples below which a shard's or a service's own latency isn't gone by.
+constexpr auto leastSamples = 20.0;
+/// The latency assumed of a leaf of which nothing is known in a service of which nothing is known.
+constexpr auto unknownLatency = absl::Milliseconds(1);
+/// How much worse a leaf counts whose status endpoint says that it is unwell.
+constexpr auto unwellFactor = 1.1;
+/// The least part of its load that a leaf gets at the beginning of its slow start.
+constexpr auto slowStartFloor = 0.05;
+constexpr auto wholePermille = std::size_t{1000};
+
+auto contains(std::span<const base::LeafId> leafs, const base::LeafId &leaf) -> bool
+{
+    return std::ranges::find(leafs, leaf) != leafs.end();
+}
+
+auto isEjected(const LeafState &leaf) -> bool
+{
+    return leaf.ejection > absl::ZeroDuration();
+}
+
+auto leaves(const LeafState &leaf) -> bool
+{
+    return leaf.publishedLeaving || leaf.saidDraining != absl::InfinitePast();
+}
+
+/// One replica that may be chosen.
+struct Candidate
+{
+    const base::LeafId *id = nullptr;
+    const LeafState *state = nullptr;
+};
+
+/// The part of its full load that a leaf takes at `now`, from slowStartFloor to 1.
+auto warmth(const RoutingPolicy &policy, const LeafState &leaf, absl::Time now) -> double
+{
+    if (policy.slowStart <= absl::ZeroDuration() || now - leaf.inUseSince >= policy.slowStart) {
+        return 1;
+    }
+    return std::max(slowStartFloor, absl::FDivDuration(now - leaf.inUseSince, policy.slowStart));
+}
+
+auto serviceLatency(const LeafTable &table) -> absl::Duration
+{
+    return table.service.weight() > 0 ? table.service.quantile(table.policy.choiceQuantile) : unknownLatency;
+}
+
+/// The latency to reckon with: what was learned of the leaf, falling back to its service's as that grows old.
+auto expectedLatency(const LeafTable &table, const LeafState &leaf, absl::Duration service, absl::Time now) -> double
+{
+    const auto known = leaf.lastSample == absl::InfinitePast() ? 0.0 : std::exp2(-absl::FDivDuration(now - leaf.lastSample, table.policy.forgetHalfLife));
+    return known * absl::ToDoubleMicroseconds(leaf.learned) + (1 - known) * absl::ToDoubleMicroseconds(service);
+}
+
+auto score(const LeafTable &table, const LeafState &leaf, absl::Duration service, absl::Time now) -> double
+{
+    const auto load = static_cast<double>(leaf.inFlight + 1) * (leaf.unwellHint ? unwellFactor : 1.0);
+    return load * expectedLatency(table, leaf, service, now) / warmth(table.policy, leaf, now);
+}
+
+auto mayProbe(const LeafState &leaf, absl::Time now) -> bool
+{
+    return now >= leaf.ejectedUntil && !leaf.probing;
+}
+
+/// The replicas in use, and after them those ejected; leaving and excluded ones are left out.
+struct Candidates
+{
+    std::vector<Candidate> inUse;
+    std::vector<Candidate> ejected;
+};
+
+auto gather(const LeafTable &table, std::span<const base::LeafId> replicas, std::span<const base::LeafId> excluded) -> Candidates
+{
+    static const auto unknown = LeafState{};
+    auto candidates = Candidates{};
+    for (const auto &id : replicas) {
+        if (contains(excluded, id)) {
+            continue;
+        }
+        const auto found = table.leafs.find(id);
+        const auto &state = found == table.leafs.end() ? unknown : found->second;
+        if (leaves(state)) {
+            continue;
+        }
+        (isEjected(state) ? candidates.ejected : candidates.inUse).push_back({&id, &state});
+    }
+    std::ranges::sort(candidates.ejected, {}, [](const Candidate &candidate) {
+        return candidate.state->ejectedUntil;
+    });
+    return candidates;
+}
+
+/// Takes ejected replicas back, the longest ejected first, while too few are in use.
+auto keepLeastInUse(Candidates &candidates, std::uint32_t leastPermille) -> void
+{
+    const auto all = candidates.inUse.size() + candidates.ejected.size();
+    const auto least = std::max<std::size_t>(1, (all * leastPermille + wholePermille - 1) / wholePermille);
+    while (candidates.inUse.size() < least && !candidates.ejected.empty()) {
+        candidates.inUse.push_back(candidates.ejected.front());
+        candidates.ejected.erase(candidates.ejected.begin());
+    }
+}
+
+auto betterOfTwo(const LeafTable &table, std::span<const Candidate> candidates, absl::Time now, base::Random &random) -> const base::LeafId &
+{
+    const auto first = random.below(candidates.size());
+    if (candidates.size() == 1) {
+        return *candidates[first].id;
+    }
+    const auto second = (first + 1 + random.below(candidates.size() - 1)) % candidates.size();
+    const auto service = serviceLatency(table);
+    const auto secondIsBetter = score(table, *candidates[second].state, service, now) < score(table, *candidates[first].state, service, now);
+    return *candidates[secondIsBetter ? second : first].id;
+}
+
+auto sample(LeafTable &table, LeafState &leaf, absl::Time now) -> void
+{
+    leaf.learned = leaf.latency.quantile(table.policy.choiceQuantile);
+    leaf.lastSample = now;
+}
+
+auto over(LeafState &leaf) -> void
+{
+    leaf.inFlight -= leaf.inFlight > 0 ? 1 : 0;
+}
+
+auto censor(LeafTable &table, LeafState &leaf, base::ShardId shard, absl::Duration waited, absl::Time now) -> void
+{
+    leaf.latency.addCensored(waited);
+    table.shards[shard].addCensored(waited);
+    table.service.addCensored(waited);
+    sample(table, leaf, now);
+}
+
+auto eject(const RoutingPolicy &policy, LeafState &leaf, absl::Time now) -> void
+{
+    leaf.ejection = isEjected(leaf) ? std::min(leaf.ejection * 2, policy.longestEjection) : policy.firstEjection;
+    leaf.ejectedUntil = now + leaf.ejection;
+    leaf.probing = false;
+}
+
+/// Ejects a leaf that just failed once more if that was its probe or one failure too many.
+auto ejectIfDue(const RoutingPolicy &policy, LeafState &leaf, absl::Time now) -> void
+{
+    const auto tooManyFailures = policy.ejectAfterFailures > 0 && leaf.consecutiveFailures >= policy.ejectAfterFailures;
+    const auto tooManyOverdue = policy.ejectAfterOverdue > 0 && leaf.consecutiveOverdue >= policy.ejectAfterOverdue;
+    if (isEjected(leaf) ? leaf.probing : (tooManyFailures || tooManyOverdue)) {
+        eject(policy, leaf, now);
+    }
+}
+
+auto takeBack(LeafState &leaf, absl::Time now) -> void
+{
+    leaf.ejection = absl::ZeroDuration();
+    leaf.probing = false;
+    leaf.inUseSince = now;
+}
+
+} // namespace
+
+auto takeUpService(LeafTable &table, const contracts::Service &service, absl::Time now) -> void
+{
+    const auto allCold = table.leafs.empty();
+    for (const auto &[id, published] : service.leafs) {
+        const auto [entry, isNew] = table.leafs.try_emplace(id);
+        if (isNew && !allCold) {
+            entry->second.inUseSince = now;
+        }
+        entry->second.publishedLeaving = published.leaving;
+    }
+    absl::erase_if(table.leafs, [&](const auto &entry) {
+        return entry.second.inFlight == 0 && !service.leafs.contains(entry.first);
+    });
+}
+
+auto chooseReplica(LeafTable &table, std::span<const base::LeafId> replicas, std::span<const base::LeafId> excluded, absl::Time now, base::Random &random)
+    -> std::optional<base::LeafId>
+{
+    auto candidates = gather(table, replicas, excluded);
+    for (const auto &candidate : candidates.ejected) {
+        if (mayProbe(*candidate.state, now)) {
+            return *candidate.id;
+        }
+    }
+    keepLeastInUse(candidates, table.policy.leastInUsePermille);
+    if (candidates.inUse.empty()) {
+        return std::nullopt;
+    }
+    if (table.policy.choice == ReplicaChoice::RoundRobin) {
+        return *candidates.inUse[table.turn++ % candidates.inUse.size()].id;
+    }
+    return betterOfTwo(table, candidates.inUse, now, random);
+}
+
+auto noteSent(LeafTable &table, const base::LeafId &leaf, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    ++state.inFlight;
+    if (isEjected(state) && now >= state.ejectedUntil) {
+        state.probing = true;
+    }
+}
+
+auto noteAnswered(LeafTable &table, const base::LeafId &leaf, base::ShardId shard, absl::Duration latency, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    over(state);
+    state.latency.add(latency);
+    table.shards[shard].add(latency);
+    table.service.add(latency);
+    sample(table, state, now);
+    state.consecutiveFailures = 0;
+    state.consecutiveOverdue = 0;
+    if (isEjected(state)) {
+        takeBack(state, now);
+    }
+}
+
+auto noteFailed(LeafTable &table, const base::LeafId &leaf, base::ShardId shard, absl::Duration waited, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    over(state);
+    censor(table, state, shard, waited, now);
+    ++state.consecutiveFailures;
+    ejectIfDue(table.policy, state, now);
+}
+
+auto noteGivenUp(LeafTable &table, const base::LeafId &leaf, base::ShardId shard, absl::Duration waited, bool overdue, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    over(state);
+    censor(table, state, shard, waited, now);
+    if (overdue) {
+        ++state.consecutiveOverdue;
+        ejectIfDue(table.policy, state, now);
+    } else {
+        state.probing = false;
+    }
+}
+
+auto noteDeclined(LeafTable &table, const base::LeafId &leaf, absl::Time /*now*/) -> void
+{
+    auto &state = table.leafs[leaf];
+    over(state);
+    state.probing = false;
+}
+
+auto noteSaid(LeafTable &table, const base::LeafId &leaf, bool draining, std::span<const base::IndexVersion> held, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    if (draining) {
+        state.saidDraining = now;
+    }
+    if (!held.empty() && !std::ranges::equal(state.held, held)) {
+        state.held.assign(held.begin(), held.end());
+    }
+}
+
+auto noteStatus(LeafTable &table, const base::LeafId &leaf, bool draining, bool unwell, absl::Time now) -> void
+{
+    auto &state = table.leafs[leaf];
+    state.unwellHint = unwell || draining;
+    if (!draining && state.saidDraining != absl::InfinitePast() && now - state.saidDraining >= table.policy.drainMemory) {
+        state.saidDraining = absl::InfinitePast();
+        state.inUseSince = now;
+    }
+}
+
+auto isLeaving(const LeafTable &table, const base::LeafId &leaf) -> bool
+{
+    const auto found = table.leafs.find(leaf);
+    return found != table.leafs.end() && leaves(found->second);
+}
+
+auto shardLatency(const LeafTable &table, base::ShardId shard, double part) -> std::optional<absl::Duration>
+{
+    const auto found = table.shards.find(shard);
+    if (found != table.shards.end() && found->second.weight() >= leastSamples) {
+        return found->second.quantile(part);
+    }
+    if (table.service.weight() >= leastSamples) {
+        return table.service.quantile(part);
+    }
+    return std::nullopt;
+}
+
+} // namespace tamarackspan::routing
