--- /dev/null
+++ b/packages/daemon/include/tamarackspan/daemon/leaf_http.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "tamarackspan/contracts/service.h"
+#include "tamarackspan/daemon/leaf_work.h"
+#include "tamarackspan/http/request.h"
+#include "tamarackspan/http/response.h"
+#include "tamarackspan/routing/leaf_queue.h"
+
+#include <cstdint>
+
+namespace tamarackspan::daemon {
+
+/// Returns the HTTP request that runs a piece of work at its leaf, as in docs/LEAF-PROTOCOL.md. `patience` is how much longer than the deadline the reply is
+/// waited for, so that the slot's end is seen.
+[[nodiscard]] auto leafRequest(const contracts::Leaf &leaf, std::uint32_t connections, const LeafWork &work, absl::Time now, absl::Duration patience)
+    -> http::Request;
+
+/// Returns the HTTP request that cancels a piece of work at its leaf.
+[[nodiscard]] auto cancelRequest(const contracts::Leaf &leaf, std::uint32_t connections, const std::string &requestName) -> http::Request;
+
+/// Returns the HTTP request that asks a leaf how it is.
+[[nodiscard]] auto statusRequest(const contracts::Leaf &leaf, std::uint32_t connections) -> http::Request;
+
+/// What a leaf's response means for the request and for the slot.
+struct LeafResponse
+{
+    LeafWorkReply reply;
+    routing::RunEnd end = routing::RunEnd::ConnectionLost;
+    /// The response was to another request.
+    bool crossed = false;
+};
+
+/// Reads the response to leafRequest.
+[[nodiscard]] auto readLeafResponse(const LeafWork &work, const http::Response &response) -> LeafResponse;
+
+} // namespace tamarackspan::daemon
--- /dev/null
+++ b/packages/daemon/include/tamarackspan/daemon/wire_conversion.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "tamarackspan/daemon/leaf_work.h"
+#include "tamarackspan/wire/inner_generated.h"
+
+namespace tamarackspan::daemon {
+
+/// Returns the reply as it goes over the inner protocol.
+[[nodiscard]] auto toWire(std::uint64_t query, base::AttemptId attempt, base::ShardId shard, LeafWorkReply reply) -> wire::LeafReplyT;
+
+/// Reads a reply of the inner protocol. Outcomes that this build doesn't know count as failed.
+[[nodiscard]] auto fromWire(const wire::LeafReplyT &reply) -> LeafWorkReply;
+
+/// Returns the run state as it goes over the inner protocol, and back. An unknown one counts as MayHaveRun.
+[[nodiscard]] auto toWire(RunState state) noexcept -> wire::RunState;
+[[nodiscard]] auto fromWire(wire::RunState state) noexcept -> RunState;
+
+/// Returns text as bytes and back.
+[[nodiscard]] auto toBytes(const std::string &text) -> std::vector<std::uint8_t>;
+[[nodiscard]] auto toText(const std::vector<std::uint8_t> &bytes) -> std::string;
+
+} // namespace tamarackspan::daemon
--- /dev/null
+++ b/packages/logging/include/tamarackspan/logging/logger.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "absl/strings/str_cat.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace tamarackspan::logging {
+
+/// How much an event matters.
+enum class Level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// How lines look.
+enum class Format {
+    /// One line of text per event: time, level, part, sentence, fields.
+    Text,
+    /// One JSON object per event.
+    Json,
+};
+
+/// Where log lines go and which.
+struct LogOptions
+{
+    Level level = Level::Info;
+    Format format = Format::Text;
+    /// The file that lines are appended to; standard output if empty.
+    std::string file;
+
+    friend auto operator==(const LogOptions &, const LogOptions &) -> bool = default;
+};
+
+/// One named value of an event.
+struct Field
+{
+    std::string name;
+    std::string value;
+
+    /// Takes any value that absl::StrCat takes.
+    template<typename T>
+    Field(std::string_view name, const T &value)
+        : name(name),
+          value(absl::StrCat(value))
+    {
+    }
+};
+
+/// Sets where the lines of this process go. Call it once, before other threads start.
+auto configureLogging(const LogOptions &options) -> void;
+
+/// Returns a line without its end, as it is written for an event. `time` is in ISO 8601.
+[[nodiscard]] auto formatLine(Format format, std::string_view time, Level level, std::string_view part, std::string_view sentence,
+                              std::initializer_list<Field> fields) -> std::string;
+
+/// Writes the log lines of one part of the program, from any thread.
+class Logger
+{
+public:
+    /// `part` is the fixed prefix of each line.
+    explicit Logger(std::string part);
+
+    /// Write an event of that level; `sentence` is a short plain sentence without a full stop.
+    auto debug(std::string_view sentence, std::initializer_list<Field> fields = {}) const -> void;
+    auto info(std::string_view sentence, std::initializer_list<Field> fields = {}) const -> void;
+    auto warning(std::string_view sentence, std::initializer_list<Field> fields = {}) const -> void;
+    auto error(std::string_view sentence, std::initializer_list<Field> fields = {}) const -> void;
+
+private:
+    auto write(Level level, std::string_view sentence, std::initializer_list<Field> fields) const -> void;
+
+    std::string part;
+};
+
+} // namespace tamarackspan::logging
--- a/packages/wire/include/tamarackspan/wire/inner_generated.h
+++ b/packages/wire/include/tamarackspan/wire/inner_generated.h
@@ -928,6 +928,7 @@
   uint32_t attempt = 0;
   uint32_t shard = 0;
   std::string leaf{};
+  bool extra = false;
 };
 
 struct LeafItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -937,7 +938,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
     VT_SHARD = 6,
-    VT_LEAF = 8
+    VT_LEAF = 8,
+    VT_EXTRA = 10
   };
   uint32_t attempt() const {
     return GetField<uint32_t>(VT_ATTEMPT, 0);
@@ -948,12 +950,16 @@
   const flatbuffers::String *leaf() const {
     return GetPointer<const flatbuffers::String *>(VT_LEAF);
   }
+  bool extra() const {
+    return GetField<uint8_t>(VT_EXTRA, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
            VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
            VerifyOffset(verifier, VT_LEAF) &&
            verifier.VerifyString(leaf()) &&
+           VerifyField<uint8_t>(verifier, VT_EXTRA, 1) &&
            verifier.EndTable();
   }
   LeafItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -974,6 +980,9 @@
   void add_leaf(flatbuffers::Offset<flatbuffers::String> leaf) {
     fbb_.AddOffset(LeafItem::VT_LEAF, leaf);
   }
+  void add_extra(bool extra) {
+    fbb_.AddElement<uint8_t>(LeafItem::VT_EXTRA, static_cast<uint8_t>(extra), 0);
+  }
   explicit LeafItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -989,11 +998,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t attempt = 0,
     uint32_t shard = 0,
-    flatbuffers::Offset<flatbuffers::String> leaf = 0) {
+    flatbuffers::Offset<flatbuffers::String> leaf = 0,
+    bool extra = false) {
   LeafItemBuilder builder_(_fbb);
   builder_.add_leaf(leaf);
   builder_.add_shard(shard);
   builder_.add_attempt(attempt);
+  builder_.add_extra(extra);
   return builder_.Finish();
 }
 
@@ -1006,13 +1017,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t attempt = 0,
     uint32_t shard = 0,
-    const char *leaf = nullptr) {
+    const char *leaf = nullptr,
+    bool extra = false) {
   auto leaf__ = leaf ? _fbb.CreateString(leaf) : 0;
   return tamarackspan::wire::CreateLeafItem(
       _fbb,
       attempt,
       shard,
-      leaf__);
+      leaf__,
+      extra);
 }
 
 flatbuffers::Offset<LeafItem> CreateLeafItem(flatbuffers::FlatBufferBuilder &_fbb, const LeafItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2480,12 +2493,12 @@
 
 struct BudgetAskT : public flatbuffers::NativeTable {
   typedef BudgetAsk TableType;
+  uint64_t id = 0;
   std::string borrower{};
   uint64_t borrowerIncarnation = 0;
-  uint64_t request = 0;
   std::string customer{};
   std::unique_ptr<tamarackspan::wire::BudgetUnitsT> wanted{};
-  uint64_t durationMicros = 0;
+  uint64_t renews = 0;
   BudgetAskT() = default;
   BudgetAskT(const BudgetAskT &o);
   BudgetAskT(BudgetAskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2497,42 +2510,42 @@
   typedef BudgetAskBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BORROWER = 4,
-    VT_BORROWERINCARNATION = 6,
-    VT_REQUEST = 8,
+    VT_ID = 4,
+    VT_BORROWER = 6,
+    VT_BORROWERINCARNATION = 8,
     VT_CUSTOMER = 10,
     VT_WANTED = 12,
-    VT_DURATIONMICROS = 14
+    VT_RENEWS = 14
   };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
   const flatbuffers::String *borrower() const {
     return GetPointer<const flatbuffers::String *>(VT_BORROWER);
   }
   uint64_t borrowerIncarnation() const {
     return GetField<uint64_t>(VT_BORROWERINCARNATION, 0);
   }
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
-  }
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
   }
   const tamarackspan::wire::BudgetUnits *wanted() const {
     return GetPointer<const tamarackspan::wire::BudgetUnits *>(VT_WANTED);
   }
-  uint64_t durationMicros() const {
-    return GetField<uint64_t>(VT_DURATIONMICROS, 0);
+  uint64_t renews() const {
+    return GetField<uint64_t>(VT_RENEWS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_BORROWER) &&
            verifier.VerifyString(borrower()) &&
            VerifyField<uint64_t>(verifier, VT_BORROWERINCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
            verifier.VerifyString(customer()) &&
            VerifyOffset(verifier, VT_WANTED) &&
            verifier.VerifyTable(wanted()) &&
-           VerifyField<uint64_t>(verifier, VT_DURATIONMICROS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RENEWS, 8) &&
            verifier.EndTable();
   }
   BudgetAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2544,23 +2557,23 @@
   typedef BudgetAsk Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BudgetAsk::VT_ID, id, 0);
+  }
   void add_borrower(flatbuffers::Offset<flatbuffers::String> borrower) {
     fbb_.AddOffset(BudgetAsk::VT_BORROWER, borrower);
   }
   void add_borrowerIncarnation(uint64_t borrowerIncarnation) {
     fbb_.AddElement<uint64_t>(BudgetAsk::VT_BORROWERINCARNATION, borrowerIncarnation, 0);
   }
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(BudgetAsk::VT_REQUEST, request, 0);
-  }
   void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
     fbb_.AddOffset(BudgetAsk::VT_CUSTOMER, customer);
   }
   void add_wanted(flatbuffers::Offset<tamarackspan::wire::BudgetUnits> wanted) {
     fbb_.AddOffset(BudgetAsk::VT_WANTED, wanted);
   }
-  void add_durationMicros(uint64_t durationMicros) {
-    fbb_.AddElement<uint64_t>(BudgetAsk::VT_DURATIONMICROS, durationMicros, 0);
+  void add_renews(uint64_t renews) {
+    fbb_.AddElement<uint64_t>(BudgetAsk::VT_RENEWS, renews, 0);
   }
   explicit BudgetAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2575,16 +2588,16 @@
 
 inline flatbuffers::Offset<BudgetAsk> CreateBudgetAsk(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::String> borrower = 0,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     flatbuffers::Offset<tamarackspan::wire::BudgetUnits> wanted = 0,
-    uint64_t durationMicros = 0) {
+    uint64_t renews = 0) {
   BudgetAskBuilder builder_(_fbb);
-  builder_.add_durationMicros(durationMicros);
-  builder_.add_request(request);
+  builder_.add_renews(renews);
   builder_.add_borrowerIncarnation(borrowerIncarnation);
+  builder_.add_id(id);
   builder_.add_wanted(wanted);
   builder_.add_customer(customer);
   builder_.add_borrower(borrower);
@@ -2598,35 +2611,36 @@
 
 inline flatbuffers::Offset<BudgetAsk> CreateBudgetAskDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     const char *borrower = nullptr,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
     const char *customer = nullptr,
     flatbuffers::Offset<tamarackspan::wire::BudgetUnits> wanted = 0,
-    uint64_t durationMicros = 0) {
+    uint64_t renews = 0) {
   auto borrower__ = borrower ? _fbb.CreateString(borrower) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return tamarackspan::wire::CreateBudgetAsk(
       _fbb,
+      id,
       borrower__,
       borrowerIncarnation,
-      request,
       customer__,
       wanted,
-      durationMicros);
+      renews);
 }
 
 flatbuffers::Offset<BudgetAsk> CreateBudgetAsk(flatbuffers::FlatBufferBuilder &_fbb, const BudgetAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct BudgetGrantT : public flatbuffers::NativeTable {
   typedef BudgetGrant TableType;
+  uint64_t id = 0;
   std::string lender{};
   uint64_t lenderIncarnation = 0;
   uint64_t borrowerIncarnation = 0;
-  uint64_t request = 0;
   std::string customer{};
   std::unique_ptr<tamarackspan::wire::BudgetUnitsT> granted{};
   uint64_t durationMicros = 0;
+  std::unique_ptr<tamarackspan::wire::BudgetUnitsT> spare{};
   BudgetGrantT() = default;
   BudgetGrantT(const BudgetGrantT &o);
   BudgetGrantT(BudgetGrantT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2638,14 +2652,18 @@
   typedef BudgetGrantBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LENDER = 4,
-    VT_LENDERINCARNATION = 6,
-    VT_BORROWERINCARNATION = 8,
-    VT_REQUEST = 10,
+    VT_ID = 4,
+    VT_LENDER = 6,
+    VT_LENDERINCARNATION = 8,
+    VT_BORROWERINCARNATION = 10,
     VT_CUSTOMER = 12,
     VT_GRANTED = 14,
-    VT_DURATIONMICROS = 16
+    VT_DURATIONMICROS = 16,
+    VT_SPARE = 18
   };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
   const flatbuffers::String *lender() const {
     return GetPointer<const flatbuffers::String *>(VT_LENDER);
   }
@@ -2655,9 +2673,6 @@
   uint64_t borrowerIncarnation() const {
     return GetField<uint64_t>(VT_BORROWERINCARNATION, 0);
   }
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
-  }
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
   }
@@ -2667,18 +2682,23 @@
   uint64_t durationMicros() const {
     return GetField<uint64_t>(VT_DURATIONMICROS, 0);
   }
+  const tamarackspan::wire::BudgetUnits *spare() const {
+    return GetPointer<const tamarackspan::wire::BudgetUnits *>(VT_SPARE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_LENDER) &&
            verifier.VerifyString(lender()) &&
            VerifyField<uint64_t>(verifier, VT_LENDERINCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_BORROWERINCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
            verifier.VerifyString(customer()) &&
            VerifyOffset(verifier, VT_GRANTED) &&
            verifier.VerifyTable(granted()) &&
            VerifyField<uint64_t>(verifier, VT_DURATIONMICROS, 8) &&
+           VerifyOffset(verifier, VT_SPARE) &&
+           verifier.VerifyTable(spare()) &&
            verifier.EndTable();
   }
   BudgetGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2690,6 +2710,9 @@
   typedef BudgetGrant Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BudgetGrant::VT_ID, id, 0);
+  }
   void add_lender(flatbuffers::Offset<flatbuffers::String> lender) {
     fbb_.AddOffset(BudgetGrant::VT_LENDER, lender);
   }
@@ -2699,9 +2722,6 @@
   void add_borrowerIncarnation(uint64_t borrowerIncarnation) {
     fbb_.AddElement<uint64_t>(BudgetGrant::VT_BORROWERINCARNATION, borrowerIncarnation, 0);
   }
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(BudgetGrant::VT_REQUEST, request, 0);
-  }
   void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
     fbb_.AddOffset(BudgetGrant::VT_CUSTOMER, customer);
   }
@@ -2711,6 +2731,9 @@
   void add_durationMicros(uint64_t durationMicros) {
     fbb_.AddElement<uint64_t>(BudgetGrant::VT_DURATIONMICROS, durationMicros, 0);
   }
+  void add_spare(flatbuffers::Offset<tamarackspan::wire::BudgetUnits> spare) {
+    fbb_.AddOffset(BudgetGrant::VT_SPARE, spare);
+  }
   explicit BudgetGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2724,18 +2747,20 @@
 
 inline flatbuffers::Offset<BudgetGrant> CreateBudgetGrant(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::String> lender = 0,
     uint64_t lenderIncarnation = 0,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     flatbuffers::Offset<tamarackspan::wire::BudgetUnits> granted = 0,
-    uint64_t durationMicros = 0) {
+    uint64_t durationMicros = 0,
+    flatbuffers::Offset<tamarackspan::wire::BudgetUnits> spare = 0) {
   BudgetGrantBuilder builder_(_fbb);
   builder_.add_durationMicros(durationMicros);
-  builder_.add_request(request);
   builder_.add_borrowerIncarnation(borrowerIncarnation);
   builder_.add_lenderIncarnation(lenderIncarnation);
+  builder_.add_id(id);
+  builder_.add_spare(spare);
   builder_.add_granted(granted);
   builder_.add_customer(customer);
   builder_.add_lender(lender);
@@ -2749,33 +2774,35 @@
 
 inline flatbuffers::Offset<BudgetGrant> CreateBudgetGrantDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     const char *lender = nullptr,
     uint64_t lenderIncarnation = 0,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
     const char *customer = nullptr,
     flatbuffers::Offset<tamarackspan::wire::BudgetUnits> granted = 0,
-    uint64_t durationMicros = 0) {
+    uint64_t durationMicros = 0,
+    flatbuffers::Offset<tamarackspan::wire::BudgetUnits> spare = 0) {
   auto lender__ = lender ? _fbb.CreateString(lender) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return tamarackspan::wire::CreateBudgetGrant(
       _fbb,
+      id,
       lender__,
       lenderIncarnation,
       borrowerIncarnation,
-      request,
       customer__,
       granted,
-      durationMicros);
+      durationMicros,
+      spare);
 }
 
 flatbuffers::Offset<BudgetGrant> CreateBudgetGrant(flatbuffers::FlatBufferBuilder &_fbb, const BudgetGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct BudgetReturnT : public flatbuffers::NativeTable {
   typedef BudgetReturn TableType;
-  std::string borrower{};
+  uint64_t id = 0;
   uint64_t borrowerIncarnation = 0;
-  uint64_t request = 0;
+  uint64_t lenderIncarnation = 0;
   std::string customer{};
 };
 
@@ -2784,29 +2811,28 @@
   typedef BudgetReturnBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BORROWER = 4,
+    VT_ID = 4,
     VT_BORROWERINCARNATION = 6,
-    VT_REQUEST = 8,
+    VT_LENDERINCARNATION = 8,
     VT_CUSTOMER = 10
   };
-  const flatbuffers::String *borrower() const {
-    return GetPointer<const flatbuffers::String *>(VT_BORROWER);
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
   uint64_t borrowerIncarnation() const {
     return GetField<uint64_t>(VT_BORROWERINCARNATION, 0);
   }
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
+  uint64_t lenderIncarnation() const {
+    return GetField<uint64_t>(VT_LENDERINCARNATION, 0);
   }
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_BORROWER) &&
-           verifier.VerifyString(borrower()) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint64_t>(verifier, VT_BORROWERINCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LENDERINCARNATION, 8) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
            verifier.VerifyString(customer()) &&
            verifier.EndTable();
@@ -2820,14 +2846,14 @@
   typedef BudgetReturn Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_borrower(flatbuffers::Offset<flatbuffers::String> borrower) {
-    fbb_.AddOffset(BudgetReturn::VT_BORROWER, borrower);
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BudgetReturn::VT_ID, id, 0);
   }
   void add_borrowerIncarnation(uint64_t borrowerIncarnation) {
     fbb_.AddElement<uint64_t>(BudgetReturn::VT_BORROWERINCARNATION, borrowerIncarnation, 0);
   }
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(BudgetReturn::VT_REQUEST, request, 0);
+  void add_lenderIncarnation(uint64_t lenderIncarnation) {
+    fbb_.AddElement<uint64_t>(BudgetReturn::VT_LENDERINCARNATION, lenderIncarnation, 0);
   }
   void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
     fbb_.AddOffset(BudgetReturn::VT_CUSTOMER, customer);
@@ -2845,15 +2871,15 @@
 
 inline flatbuffers::Offset<BudgetReturn> CreateBudgetReturn(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> borrower = 0,
+    uint64_t id = 0,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
+    uint64_t lenderIncarnation = 0,
     flatbuffers::Offset<flatbuffers::String> customer = 0) {
   BudgetReturnBuilder builder_(_fbb);
-  builder_.add_request(request);
+  builder_.add_lenderIncarnation(lenderIncarnation);
   builder_.add_borrowerIncarnation(borrowerIncarnation);
+  builder_.add_id(id);
   builder_.add_customer(customer);
-  builder_.add_borrower(borrower);
   return builder_.Finish();
 }
 
@@ -2864,17 +2890,16 @@
 
 inline flatbuffers::Offset<BudgetReturn> CreateBudgetReturnDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *borrower = nullptr,
+    uint64_t id = 0,
     uint64_t borrowerIncarnation = 0,
-    uint64_t request = 0,
+    uint64_t lenderIncarnation = 0,
     const char *customer = nullptr) {
-  auto borrower__ = borrower ? _fbb.CreateString(borrower) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return tamarackspan::wire::CreateBudgetReturn(
       _fbb,
-      borrower__,
+      id,
       borrowerIncarnation,
-      request,
+      lenderIncarnation,
       customer__);
 }
 
@@ -3445,7 +3470,8 @@
   return
       (lhs.attempt == rhs.attempt) &&
       (lhs.shard == rhs.shard) &&
-      (lhs.leaf == rhs.leaf);
+      (lhs.leaf == rhs.leaf) &&
+      (lhs.extra == rhs.extra);
 }
 
 inline bool operator!=(const LeafItemT &lhs, const LeafItemT &rhs) {
@@ -3465,6 +3491,7 @@
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = shard(); _o->shard = _e; }
   { auto _e = leaf(); if (_e) _o->leaf = _e->str(); }
+  { auto _e = extra(); _o->extra = _e; }
 }
 
 inline flatbuffers::Offset<LeafItem> LeafItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeafItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3478,11 +3505,13 @@
   auto _attempt = _o->attempt;
   auto _shard = _o->shard;
   auto _leaf = _o->leaf.empty() ? 0 : _fbb.CreateString(_o->leaf);
+  auto _extra = _o->extra;
   return tamarackspan::wire::CreateLeafItem(
       _fbb,
       _attempt,
       _shard,
-      _leaf);
+      _leaf,
+      _extra);
 }
 
 
@@ -4168,12 +4197,12 @@
 
 inline bool operator==(const BudgetAskT &lhs, const BudgetAskT &rhs) {
   return
+      (lhs.id == rhs.id) &&
       (lhs.borrower == rhs.borrower) &&
       (lhs.borrowerIncarnation == rhs.borrowerIncarnation) &&
-      (lhs.request == rhs.request) &&
       (lhs.customer == rhs.customer) &&
       ((lhs.wanted == rhs.wanted) || (lhs.wanted && rhs.wanted && *lhs.wanted == *rhs.wanted)) &&
-      (lhs.durationMicros == rhs.durationMicros);
+      (lhs.renews == rhs.renews);
 }
 
 inline bool operator!=(const BudgetAskT &lhs, const BudgetAskT &rhs) {
@@ -4182,21 +4211,21 @@
 
 
 inline BudgetAskT::BudgetAskT(const BudgetAskT &o)
-      : borrower(o.borrower),
+      : id(o.id),
+        borrower(o.borrower),
         borrowerIncarnation(o.borrowerIncarnation),
-        request(o.request),
         customer(o.customer),
         wanted((o.wanted) ? new tamarackspan::wire::BudgetUnitsT(*o.wanted) : nullptr),
-        durationMicros(o.durationMicros) {
+        renews(o.renews) {
 }
 
 inline BudgetAskT &BudgetAskT::operator=(BudgetAskT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
   std::swap(borrower, o.borrower);
   std::swap(borrowerIncarnation, o.borrowerIncarnation);
-  std::swap(request, o.request);
   std::swap(customer, o.customer);
   std::swap(wanted, o.wanted);
-  std::swap(durationMicros, o.durationMicros);
+  std::swap(renews, o.renews);
   return *this;
 }
 
@@ -4209,12 +4238,12 @@
 inline void BudgetAsk::UnPackTo(BudgetAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
   { auto _e = borrower(); if (_e) _o->borrower = _e->str(); }
   { auto _e = borrowerIncarnation(); _o->borrowerIncarnation = _e; }
-  { auto _e = request(); _o->request = _e; }
   { auto _e = customer(); if (_e) _o->customer = _e->str(); }
   { auto _e = wanted(); if (_e) _o->wanted = std::unique_ptr<tamarackspan::wire::BudgetUnitsT>(_e->UnPack(_resolver)); }
-  { auto _e = durationMicros(); _o->durationMicros = _e; }
+  { auto _e = renews(); _o->renews = _e; }
 }
 
 inline flatbuffers::Offset<BudgetAsk> BudgetAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BudgetAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4225,32 +4254,33 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BudgetAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
   auto _borrower = _o->borrower.empty() ? 0 : _fbb.CreateString(_o->borrower);
   auto _borrowerIncarnation = _o->borrowerIncarnation;
-  auto _request = _o->request;
   auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
   auto _wanted = _o->wanted ? CreateBudgetUnits(_fbb, _o->wanted.get(), _rehasher) : 0;
-  auto _durationMicros = _o->durationMicros;
+  auto _renews = _o->renews;
   return tamarackspan::wire::CreateBudgetAsk(
       _fbb,
+      _id,
       _borrower,
       _borrowerIncarnation,
-      _request,
       _customer,
       _wanted,
-      _durationMicros);
+      _renews);
 }
 
 
 inline bool operator==(const BudgetGrantT &lhs, const BudgetGrantT &rhs) {
   return
+      (lhs.id == rhs.id) &&
       (lhs.lender == rhs.lender) &&
       (lhs.lenderIncarnation == rhs.lenderIncarnation) &&
       (lhs.borrowerIncarnation == rhs.borrowerIncarnation) &&
-      (lhs.request == rhs.request) &&
       (lhs.customer == rhs.customer) &&
       ((lhs.granted == rhs.granted) || (lhs.granted && rhs.granted && *lhs.granted == *rhs.granted)) &&
-      (lhs.durationMicros == rhs.durationMicros);
+      (lhs.durationMicros == rhs.durationMicros) &&
+      ((lhs.spare == rhs.spare) || (lhs.spare && rhs.spare && *lhs.spare == *rhs.spare));
 }
 
 inline bool operator!=(const BudgetGrantT &lhs, const BudgetGrantT &rhs) {
@@ -4259,23 +4289,25 @@
 
 
 inline BudgetGrantT::BudgetGrantT(const BudgetGrantT &o)
-      : lender(o.lender),
+      : id(o.id),
+        lender(o.lender),
         lenderIncarnation(o.lenderIncarnation),
         borrowerIncarnation(o.borrowerIncarnation),
-        request(o.request),
         customer(o.customer),
         granted((o.granted) ? new tamarackspan::wire::BudgetUnitsT(*o.granted) : nullptr),
-        durationMicros(o.durationMicros) {
+        durationMicros(o.durationMicros),
+        spare((o.spare) ? new tamarackspan::wire::BudgetUnitsT(*o.spare) : nullptr) {
 }
 
 inline BudgetGrantT &BudgetGrantT::operator=(BudgetGrantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
   std::swap(lender, o.lender);
   std::swap(lenderIncarnation, o.lenderIncarnation);
   std::swap(borrowerIncarnation, o.borrowerIncarnation);
-  std::swap(request, o.request);
   std::swap(customer, o.customer);
   std::swap(granted, o.granted);
   std::swap(durationMicros, o.durationMicros);
+  std::swap(spare, o.spare);
   return *this;
 }
 
@@ -4288,13 +4320,14 @@
 inline void BudgetGrant::UnPackTo(BudgetGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
   { auto _e = lender(); if (_e) _o->lender = _e->str(); }
   { auto _e = lenderIncarnation(); _o->lenderIncarnation = _e; }
   { auto _e = borrowerIncarnation(); _o->borrowerIncarnation = _e; }
-  { auto _e = request(); _o->request = _e; }
   { auto _e = customer(); if (_e) _o->customer = _e->str(); }
   { auto _e = granted(); if (_e) _o->granted = std::unique_ptr<tamarackspan::wire::BudgetUnitsT>(_e->UnPack(_resolver)); }
   { auto _e = durationMicros(); _o->durationMicros = _e; }
+  { auto _e = spare(); if (_e) _o->spare = std::unique_ptr<tamarackspan::wire::BudgetUnitsT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<BudgetGrant> BudgetGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BudgetGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4305,30 +4338,32 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BudgetGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
   auto _lender = _o->lender.empty() ? 0 : _fbb.CreateString(_o->lender);
   auto _lenderIncarnation = _o->lenderIncarnation;
   auto _borrowerIncarnation = _o->borrowerIncarnation;
-  auto _request = _o->request;
   auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
   auto _granted = _o->granted ? CreateBudgetUnits(_fbb, _o->granted.get(), _rehasher) : 0;
   auto _durationMicros = _o->durationMicros;
+  auto _spare = _o->spare ? CreateBudgetUnits(_fbb, _o->spare.get(), _rehasher) : 0;
   return tamarackspan::wire::CreateBudgetGrant(
       _fbb,
+      _id,
       _lender,
       _lenderIncarnation,
       _borrowerIncarnation,
-      _request,
       _customer,
       _granted,
-      _durationMicros);
+      _durationMicros,
+      _spare);
 }
 
 
 inline bool operator==(const BudgetReturnT &lhs, const BudgetReturnT &rhs) {
   return
-      (lhs.borrower == rhs.borrower) &&
+      (lhs.id == rhs.id) &&
       (lhs.borrowerIncarnation == rhs.borrowerIncarnation) &&
-      (lhs.request == rhs.request) &&
+      (lhs.lenderIncarnation == rhs.lenderIncarnation) &&
       (lhs.customer == rhs.customer);
 }
 
@@ -4346,9 +4381,9 @@
 inline void BudgetReturn::UnPackTo(BudgetReturnT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = borrower(); if (_e) _o->borrower = _e->str(); }
+  { auto _e = id(); _o->id = _e; }
   { auto _e = borrowerIncarnation(); _o->borrowerIncarnation = _e; }
-  { auto _e = request(); _o->request = _e; }
+  { auto _e = lenderIncarnation(); _o->lenderIncarnation = _e; }
   { auto _e = customer(); if (_e) _o->customer = _e->str(); }
 }
 
@@ -4360,15 +4395,15 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BudgetReturnT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _borrower = _o->borrower.empty() ? 0 : _fbb.CreateString(_o->borrower);
+  auto _id = _o->id;
   auto _borrowerIncarnation = _o->borrowerIncarnation;
-  auto _request = _o->request;
+  auto _lenderIncarnation = _o->lenderIncarnation;
   auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
   return tamarackspan::wire::CreateBudgetReturn(
       _fbb,
-      _borrower,
+      _id,
       _borrowerIncarnation,
-      _request,
+      _lenderIncarnation,
       _customer);
 }
 
