Keep contract limits over all hosts: host list leases, lending, admission

First version of the decisions for limits that no shared state keeps: a host's own part of a limit as a lease on the host list, lending between the hosts of one data centre, and admission at the entry by budget, priority and deadline. Pure functions over plain structs on a clock passed in.

--- /dev/null
+++ b/packages/admission/include/tamarackspan/admission/fwd.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace tamarackspan::admission {
+
+struct AdmissionState;
+struct Budget;
+struct BudgetAsk;
+struct BudgetGrant;
+struct BudgetReturn;
+struct BudgetStep;
+struct LendingState;
+struct TokenBucket;
+
+} // namespace tamarackspan::admission
--- /dev/null
+++ b/packages/admission/src/adaptive_limit.cpp
@@ -0,0 +1,55 @@
+#include "adaptive_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackspan::admission::impl {
+
+namespace {
+
+// The weight of the newest request in a smoothed time.
+constexpr auto timeWeight = 0.1;
+// The weight of the newest group of requests in the limit.
+constexpr auto limitWeight = 0.3;
+// The unloaded time rises by this factor per request that took longer, so that a leaf that became slower for good is learned.
+constexpr auto unloadedDrift = 1.0005;
+// The least factor by which one group of requests lowers the limit.
+constexpr auto leastFactor = 0.5;
+constexpr auto leastSamples = std::uint32_t{16};
+
+auto smooth(double known, double value) -> double
+{
+    return known == 0 ? value : known + (value - known) * timeWeight;
+}
+
+auto adjustLimit(AdmissionState &state) -> void
+{
+    const auto slowness = state.slownessSum / state.sampled;
+    const auto factor = std::clamp(state.config.latencyTolerance / slowness, leastFactor, 1.0);
+    const auto target = state.inFlightLimit * factor + std::sqrt(state.inFlightLimit);
+    const auto used = static_cast<double>(state.peakInFlight) >= state.inFlightLimit / 2;
+    if (used || target < state.inFlightLimit) {
+        const auto moved = state.inFlightLimit + (target - state.inFlightLimit) * limitWeight;
+        state.inFlightLimit = std::clamp(moved, static_cast<double>(state.config.minInFlight), static_cast<double>(state.config.maxInFlight));
+    }
+    state.sampled = 0;
+    state.slownessSum = 0;
+    state.peakInFlight = state.running.size();
+}
+
+} // namespace
+
+auto learnFromEnd(AdmissionState &state, OperationTimes &times, absl::Duration took) -> void
+{
+    const auto seconds = std::max(absl::ToDoubleSeconds(took), 1e-6);
+    times.typical = smooth(times.typical, seconds);
+    times.unloaded = times.unloaded == 0 ? times.typical : std::min(times.typical, times.unloaded * unloadedDrift);
+    state.serviceSeconds = smooth(state.serviceSeconds, seconds);
+    ++state.sampled;
+    state.slownessSum += seconds / times.unloaded;
+    if (state.sampled >= std::max(leastSamples, static_cast<std::uint32_t>(state.inFlightLimit / 2))) {
+        adjustLimit(state);
+    }
+}
+
+} // namespace tamarackspan::admission::impl
--- /dev/null
+++ b/packages/membership/include/tamarackspan/membership/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace tamarackspan::membership {
+
+struct ListReading;
+struct PartInForce;
+struct RosterConfig;
+struct RosterState;
+struct WitnessReport;
+struct PeerState;
+
+} // namespace tamarackspan::membership
--- /dev/null
+++ b/packages/membership/src/host_hash.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "tamarackspan/base/ids.h"
+#include "tamarackspan/base/random.h"
+
+#include <cstdint>
+
+namespace tamarackspan::membership::impl {
+
+/// Returns the hash of a host that all rankings start from.
+[[nodiscard]] inline auto hostHash(const base::HostId &host) noexcept -> std::uint64_t
+{
+    return base::stableHash(host.get().data(), host.get().size());
+}
+
+/// Returns the weight of a host for a key: the hosts with the greatest weights rank first.
+[[nodiscard]] inline auto rankWeight(std::uint64_t key, std::uint64_t host) noexcept -> std::uint64_t
+{
+    return base::mixBits(key ^ base::mixBits(host));
+}
+
+} // namespace tamarackspan::membership::impl
--- /dev/null
+++ b/packages/membership/tests/roster_test.cpp
@@ -0,0 +1,106 @@
+#include "tamarackspan/membership/roster.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace tamarackspan;
+using namespace tamarackspan::membership;
+
+const auto start = absl::UnixEpoch() + absl::Hours(1);
+
+auto listOf(const std::vector<std::string> &names) -> contracts::HostList
+{
+    auto list = contracts::HostList();
+    for (const auto &name : names) {
+        list.hosts.push_back({base::HostId(name), false});
+    }
+    return list;
+}
+
+// Confirms one list every second with all witnesses holding it.
+auto confirmFor(RosterState &state, std::uint64_t revision, const contracts::HostList &list, absl::Time from, absl::Duration over) -> absl::Time
+{
+    auto now = from;
+    for (; now <= from + over; now += absl::Seconds(1)) {
+        recordList(state, {base::Revision(revision), list, now}, now, absl::ZeroDuration());
+        for (const auto &host : list.hosts) {
+            recordWitness(state, {host.id, base::Revision(revision), now}, now);
+        }
+    }
+    return now - absl::Seconds(1);
+}
+
+auto part(const RosterState &state, std::uint32_t total, absl::Time now) -> std::uint32_t
+{
+    return partInForce(state, total, "customer/rate", absl::ZeroDuration(), now).units;
+}
+
+class Roster : public testing::Test
+{
+protected:
+    RosterState state{base::HostId("a"), {}, {}, {}};
+    contracts::HostList pair = listOf({"a", "b"});
+    absl::Duration window = growthWindow({}, absl::ZeroDuration());
+};
+
+TEST_F(Roster, NewProcessWaitsForTheWholeWindow)
+{
+    const auto now = confirmFor(this->state, 1, this->pair, start, this->window - absl::Seconds(1));
+    EXPECT_EQ(part(this->state, 10, now), 0U);
+    const auto later = confirmFor(this->state, 1, this->pair, now + absl::Seconds(1), absl::ZeroDuration());
+    EXPECT_EQ(part(this->state, 10, later), 5U);
+}
+
+TEST_F(Roster, ShrinksAtOnceAndGrowsAfterTheWindow)
+{
+    auto now = confirmFor(this->state, 1, this->pair, start, this->window);
+    now = confirmFor(this->state, 2, listOf({"a", "b", "c", "d", "e"}), now + absl::Seconds(1), absl::ZeroDuration());
+    EXPECT_EQ(part(this->state, 10, now), 2U);
+    now = confirmFor(this->state, 3, listOf({"a"}), now + absl::Seconds(1), this->window - absl::Seconds(1));
+    EXPECT_EQ(part(this->state, 10, now), 2U);
+    now = confirmFor(this->state, 3, listOf({"a"}), now + absl::Seconds(1), absl::ZeroDuration());
+    EXPECT_EQ(part(this->state, 10, now), 10U);
+}
+
+TEST_F(Roster, HoldsNothingPastTheLeaseAndStartsAnewAfterIt)
+{
+    const auto now = confirmFor(this->state, 1, this->pair, start, this->window);
+    const auto lease = this->state.config.lease;
+    EXPECT_EQ(part(this->state, 10, now + lease - absl::Nanoseconds(1)), 5U);
+    EXPECT_EQ(part(this->state, 10, now + lease), 0U);
+    const auto woken = confirmFor(this->state, 1, this->pair, now + lease + absl::Seconds(1), absl::ZeroDuration());
+    EXPECT_EQ(part(this->state, 10, woken), 0U);
+    EXPECT_EQ(part(this->state, 10, confirmFor(this->state, 1, this->pair, woken, this->window)), 5U);
+}
+
+TEST_F(Roster, WitnessesConfirmTheListWhileThePlatformIsCutOff)
+{
+    auto now = confirmFor(this->state, 1, this->pair, start, this->window);
+    for (auto i = 0; i < 60; ++i) {
+        now += absl::Seconds(1);
+        recordWitness(this->state, {base::HostId("b"), base::Revision(1), now}, now);
+        ASSERT_EQ(part(this->state, 10, now), 5U);
+    }
+}
+
+TEST_F(Roster, AWitnessOfANewerListConfirmsNothing)
+{
+    auto now = confirmFor(this->state, 1, this->pair, start, this->window);
+    for (auto i = 0; i < 10; ++i) {
+        now += absl::Seconds(1);
+        recordWitness(this->state, {base::HostId("b"), base::Revision(2), now}, now);
+    }
+    EXPECT_EQ(part(this->state, 10, now), 0U);
+}
+
+TEST_F(Roster, OlderListsAreIgnored)
+{
+    const auto now = confirmFor(this->state, 5, this->pair, start, this->window);
+    recordList(this->state, {base::Revision(4), listOf({"a"}), now}, now, absl::ZeroDuration());
+    EXPECT_EQ(newestRevision(this->state), base::Revision(5));
+    EXPECT_EQ(*newestList(this->state), this->pair);
+    EXPECT_EQ(part(this->state, 10, now), 5U);
+}
+
+} // namespace
