Start the HTTP client and server

Cause: entries, owners and the configuration watch all speak HTTP, and nothing stood yet. Change: a client over libcurl's multi-socket interface on one event loop, which counts each pool's connections as the server sees them, and a server over libmicrohttpd whose responses may come later from any thread.

--- /dev/null
+++ b/packages/http/include/tamarackspan/http/message.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackspan::http {
+
+/// One header field of a request or response.
+struct Header
+{
+    std::string name;
+    std::string value;
+
+    friend auto operator==(const Header &, const Header &) -> bool = default;
+};
+
+/// Header fields in the order in which they were sent.
+using Headers = std::vector<Header>;
+
+/// Returns the value of the first field of that name, whatever its case; nullptr if there is none. The pointer lives as long as the headers are unchanged.
+[[nodiscard]] auto findHeader(const Headers &headers, std::string_view name) noexcept -> const std::string *;
+
+} // namespace tamarackspan::http
--- /dev/null
+++ b/packages/http/src/client.cpp
@@ -0,0 +1,447 @@
+#include "tamarackspan/http/client.h"
+
+#include "connections.h"
+#include "transfer.h"
+
+#include "tamarackspan/base/clock.h"
+#include "tamarackspan/base/require.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <algorithm>
+#include <curl/curl.h>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <sys/epoll.h>
+#include <utility>
+#include <vector>
+
+namespace tamarackspan::http {
+
+namespace {
+
+constexpr auto sweepInterval = absl::Milliseconds(500);
+constexpr auto spareHandles = std::size_t{256};
+constexpr auto cachedConnections = 1'000'000L;
+
+auto initialiseLibrary() -> void
+{
+    static auto once = std::once_flag();
+    std::call_once(once, [] {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+    });
+}
+
+/// The requests of one pool.
+struct Pool
+{
+    std::string name{};
+    std::uint32_t maxConnections = 1;
+    std::deque<RequestId> queue{};
+    /// Requests that are with libcurl and have no socket yet.
+    std::uint32_t unassigned = 0;
+};
+
+} // namespace
+
+struct Client::Core
+{
+    Core(transport::EventLoop &loop, ClientOptions options);
+    ~Core();
+    Core(const Core &) = delete;
+    auto operator=(const Core &) -> Core & = delete;
+
+    auto send(Request request, Callback callback) -> RequestId;
+    auto cancel(RequestId id) -> void;
+    [[nodiscard]] auto counts(std::string_view name) const -> PoolCounts;
+
+private:
+    auto poolOf(const Request &request) -> std::uint32_t;
+    auto pump(std::uint32_t number) -> void;
+    auto mayStart(std::uint32_t number, const impl::Transfer &transfer, bool fresh) -> bool;
+    [[nodiscard]] auto needsFresh(const impl::Transfer &transfer) const -> bool;
+    auto start(impl::Transfer &transfer, bool fresh) -> void;
+    auto takeBack(impl::Transfer &transfer) -> void;
+    auto assign(impl::Transfer &transfer, int fd) -> void;
+    auto finish(impl::Transfer &transfer) -> void;
+    auto endEarly(RequestId id, Outcome outcome) -> void;
+    auto leaveQueue(const impl::Transfer &transfer) -> void;
+    auto requeue(impl::Transfer &transfer) -> void;
+    auto act(int fd, int events) -> void;
+    auto onDone(CURL *easy, CURLcode result) -> void;
+    auto sweep() -> void;
+    auto makeHandle() -> impl::EasyHandle;
+
+    static auto onSocketWanted(CURL *easy, curl_socket_t fd, int what, void *user, void *socketUser) -> int;
+    static auto onTimerWanted(CURLM *multi, long millis, void *user) -> int;
+    static auto onOpenSocket(void *user, curlsocktype purpose, curl_sockaddr *address) -> curl_socket_t;
+    static auto onCloseSocket(void *user, curl_socket_t fd) -> int;
+    static auto onRequestDue(void *user, char *remoteIp, char *localIp, int remotePort, int localPort) -> int;
+
+    transport::EventLoop &loop;
+    ClientOptions options;
+    CURLM *multi;
+    impl::Connections connections;
+    std::vector<Pool> pools;
+    absl::flat_hash_map<std::string, std::uint32_t> poolNumbers;
+    absl::flat_hash_map<RequestId, std::unique_ptr<impl::Transfer>> transfers;
+    std::vector<impl::EasyHandle> spare;
+    RequestId lastId = 0;
+    transport::TimerId multiTimer = 0;
+    transport::TimerId sweepTimer = 0;
+};
+
+Client::Core::Core(transport::EventLoop &loop, ClientOptions options)
+    : loop(loop),
+      options(options),
+      multi((initialiseLibrary(), curl_multi_init())),
+      connections(
+          loop, {.idle = options.idleLimit, .closeConfirm = options.closeConfirmLimit, .unacknowledged = options.unacknowledgedLimit},
+          [this](int fd, std::uint32_t events) {
+              const auto in = (events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+              const auto out = (events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+              const auto failed = (events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+              this->act(fd, in | out | failed);
+          },
+          [this](std::uint32_t pool) {
+              this->pump(pool);
+          })
+{
+    base::require(this->multi != nullptr, "out of memory");
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, onSocketWanted);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, onTimerWanted);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
+    // The client itself counts and closes connections.
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, cachedConnections);
+    this->sweep();
+}
+
+Client::Core::~Core()
+{
+    this->loop.cancelTimer(this->sweepTimer);
+    auto left = std::vector<std::unique_ptr<impl::Transfer>>();
+    for (auto &[id, transfer] : this->transfers) {
+        this->loop.cancelTimer(transfer->timer);
+        if (transfer->easy != nullptr) {
+            this->takeBack(*transfer);
+        }
+        left.push_back(std::move(transfer));
+    }
+    this->transfers.clear();
+    for (auto &pool : this->pools) {
+        pool.queue.clear();
+    }
+    curl_multi_cleanup(this->multi);
+    this->loop.cancelTimer(this->multiTimer);
+    for (auto &transfer : left) {
+        transfer->callback(Response{.outcome = Outcome::Cancelled, .bytesMayHaveBeenSent = transfer->response.bytesMayHaveBeenSent});
+    }
+}
+
+auto Client::Core::poolOf(const Request &request) -> std::uint32_t
+{
+    const auto [found, added] = this->poolNumbers.try_emplace(request.pool, static_cast<std::uint32_t>(this->pools.size()));
+    if (added) {
+        this->pools.push_back(Pool{.name = request.pool});
+    }
+    this->pools[found->second].maxConnections = request.maxConnections;
+    return found->second;
+}
+
+auto Client::Core::send(Request request, Callback callback) -> RequestId
+{
+    const auto id = ++this->lastId;
+    auto transfer = std::make_unique<impl::Transfer>();
+    transfer->id = id;
+    transfer->request = std::move(request);
+    transfer->callback = std::move(callback);
+    transfer->guarded = this->options.guardAtMostOnce;
+    const auto valid = impl::isValid(transfer->request);
+    const auto limit = valid ? base::monotonicNow() + transfer->request.timeout : absl::InfinitePast();
+    transfer->timer = this->loop.runAt(limit, [this, id, valid] {
+        this->endEarly(id, valid ? Outcome::Timeout : Outcome::InvalidRequest);
+    });
+    transfer->pool = this->poolOf(transfer->request);
+    const auto pool = transfer->pool;
+    this->transfers.emplace(id, std::move(transfer));
+    if (valid) {
+        this->pools[pool].queue.push_back(id);
+        this->pump(pool);
+    }
+    return id;
+}
+
+auto Client::Core::cancel(RequestId id) -> void
+{
+    const auto found = this->transfers.find(id);
+    if (found == this->transfers.end()) {
+        return;
+    }
+    auto &transfer = *found->second;
+    if (transfer.easy != nullptr) {
+        this->takeBack(transfer);
+    }
+    this->loop.cancelTimer(transfer.timer);
+    transfer.timer = this->loop.runAt(absl::InfinitePast(), [this, id] {
+        this->endEarly(id, Outcome::Cancelled);
+    });
+    this->leaveQueue(transfer);
+}
+
+auto Client::Core::counts(std::string_view name) const -> PoolCounts
+{
+    const auto found = this->poolNumbers.find(std::string(name));
+    if (found == this->poolNumbers.end()) {
+        return {};
+    }
+    const auto sockets = this->connections.counts(found->second);
+    return {.open = sockets.open, .idle = sockets.idle, .queued = static_cast<std::uint32_t>(this->pools[found->second].queue.size())};
+}
+
+auto Client::Core::needsFresh(const impl::Transfer &transfer) const -> bool
+{
+    return transfer.request.reuse == Reuse::AtMostOnce && transfer.guarded
+        && !this->connections.hasIdleSince(transfer.pool, base::monotonicNow() - this->options.atMostOnceIdleLimit);
+}
+
+auto Client::Core::mayStart(std::uint32_t number, const impl::Transfer &transfer, bool fresh) -> bool
+{
+    const auto &pool = this->pools[number];
+    const auto counts = this->connections.counts(number);
+    const auto room = pool.maxConnections - std::min(pool.maxConnections, counts.open);
+    if (pool.unassigned < room + (fresh ? 0 : counts.idle)) {
+        return true;
+    }
+    if (fresh && transfer.stop == impl::Stop::None && counts.idle > 0) {
+        std::ignore = this->connections.retireOldestIdle(number);
+    }
+    return false;
+}
+
+auto Client::Core::pump(std::uint32_t number) -> void
+{
+    while (!this->pools[number].queue.empty()) {
+        auto &transfer = *this->transfers.at(this->pools[number].queue.front());
+        const auto fresh = this->needsFresh(transfer);
+        if (!this->mayStart(number, transfer, fresh)) {
+            return;
+        }
+        this->pools[number].queue.pop_front();
+        this->start(transfer, fresh);
+    }
+}
+
+auto Client::Core::makeHandle() -> impl::EasyHandle
+{
+    if (!this->spare.empty()) {
+        auto easy = std::move(this->spare.back());
+        this->spare.pop_back();
+        return easy;
+    }
+    auto easy = impl::makeEasy(this->options);
+    curl_easy_setopt(easy.get(), CURLOPT_OPENSOCKETFUNCTION, onOpenSocket);
+    curl_easy_setopt(easy.get(), CURLOPT_CLOSESOCKETFUNCTION, onCloseSocket);
+    curl_easy_setopt(easy.get(), CURLOPT_CLOSESOCKETDATA, this);
+    curl_easy_setopt(easy.get(), CURLOPT_PREREQFUNCTION, onRequestDue);
+    return easy;
+}
+
+auto Client::Core::start(impl::Transfer &transfer, bool fresh) -> void
+{
+    transfer.easy = this->makeHandle();
+    impl::prepare(transfer, fresh);
+    transfer.owner = this;
+    curl_easy_setopt(transfer.easy.get(), CURLOPT_OPENSOCKETDATA, &transfer);
+    curl_easy_setopt(transfer.easy.get(), CURLOPT_PREREQDATA, &transfer);
+    transfer.unassigned = true;
+    ++this->pools[transfer.pool].unassigned;
+    const auto added = curl_multi_add_handle(this->multi, transfer.easy.get());
+    base::require(added == CURLM_OK, "libcurl takes a prepared handle");
+}
+
+/// Ends libcurl's part in a transfer; a connection on which it was sent and not yet answered is closed.
+auto Client::Core::takeBack(impl::Transfer &transfer) -> void
+{
+    this->assign(transfer, transfer.fd);
+    curl_multi_remove_handle(this->multi, transfer.easy.get());
+    transfer.fd = -1;
+    if (this->spare.size() < spareHandles) {
+        this->spare.push_back(std::move(transfer.easy));
+    }
+    transfer.easy.reset();
+    transfer.headers.reset();
+}
+
+auto Client::Core::assign(impl::Transfer &transfer, int fd) -> void
+{
+    transfer.fd = fd;
+    if (transfer.unassigned) {
+        transfer.unassigned = false;
+        --this->pools[transfer.pool].unassigned;
+    }
+}
+
+auto Client::Core::requeue(impl::Transfer &transfer) -> void
+{
+    this->takeBack(transfer);
+    this->pools[transfer.pool].queue.push_front(transfer.id);
+}
+
+auto Client::Core::leaveQueue(const impl::Transfer &transfer) -> void
+{
+    auto &queue = this->pools[transfer.pool].queue;
+    queue.erase(std::remove(queue.begin(), queue.end(), transfer.id), queue.end());
+}
+
+auto Client::Core::finish(impl::Transfer &transfer) -> void
+{
+    this->loop.cancelTimer(transfer.timer);
+    auto node = this->transfers.extract(transfer.id);
+    auto &owned = *node.mapped();
+    owned.callback(std::move(owned.response));
+}
+
+auto Client::Core::endEarly(RequestId id, Outcome outcome) -> void
+{
+    auto &transfer = *this->transfers.at(id);
+    const auto sent = transfer.response.bytesMayHaveBeenSent;
+    const auto pool = transfer.pool;
+    if (transfer.easy != nullptr) {
+        this->takeBack(transfer);
+    }
+    this->leaveQueue(transfer);
+    transfer.response = Response{.outcome = outcome, .bytesMayHaveBeenSent = sent, .error = std::string(toString(outcome))};
+    this->finish(transfer);
+    this->pump(pool);
+}
+
+auto Client::Core::act(int fd, int events) -> void
+{
+    auto running = 0;
+    curl_multi_socket_action(this->multi, fd, events, &running);
+    auto left = 0;
+    while (auto *message = curl_multi_info_read(this->multi, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            this->onDone(message->easy_handle, message->data.result);
+        }
+    }
+}
+
+auto Client::Core::onDone(CURL *easy, CURLcode result) -> void
+{
+    auto &transfer = *impl::transferOf(easy);
+    const auto pool = transfer.pool;
+    if (transfer.fd >= 0) {
+        this->connections.markIdle(transfer.fd, base::monotonicNow());
+    }
+    if (transfer.stop == impl::Stop::NoRoom || transfer.stop == impl::Stop::Stale) {
+        this->requeue(transfer);
+        this->pump(pool);
+        return;
+    }
+    impl::conclude(transfer, result);
+    this->takeBack(transfer);
+    this->finish(transfer);
+    this->pump(pool);
+}
+
+auto Client::Core::sweep() -> void
+{
+    const auto now = base::monotonicNow();
+    this->connections.retireOverdue(now);
+    this->sweepTimer = this->loop.runAt(now + sweepInterval, [this] {
+        this->sweep();
+    });
+}
+
+auto Client::Core::onSocketWanted(CURL *easy, curl_socket_t fd, int what, void *user, void * /*socketUser*/) -> int
+{
+    auto &core = *static_cast<Core *>(user);
+    if (what == CURL_POLL_REMOVE) {
+        core.connections.want(fd, 0);
+        return 0;
+    }
+    const auto in = (what & CURL_POLL_IN) != 0 ? std::uint32_t{EPOLLIN} : 0;
+    const auto out = (what & CURL_POLL_OUT) != 0 ? std::uint32_t{EPOLLOUT} : 0;
+    core.connections.want(fd, in | out);
+    auto *transfer = impl::transferOf(easy);
+    if (transfer != nullptr && transfer->fd != fd) {
+        core.assign(*transfer, fd);
+        core.connections.markBusy(fd);
+    }
+    return 0;
+}
+
+auto Client::Core::onTimerWanted(CURLM * /*multi*/, long millis, void *user) -> int
+{
+    auto &core = *static_cast<Core *>(user);
+    core.loop.cancelTimer(std::exchange(core.multiTimer, 0));
+    if (millis >= 0) {
+        const auto when = millis == 0 ? absl::InfinitePast() : base::monotonicNow() + absl::Milliseconds(millis);
+        core.multiTimer = core.loop.runAt(when, [&core] {
+            core.multiTimer = 0;
+            core.act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    }
+    return 0;
+}
+
+auto Client::Core::onOpenSocket(void *user, curlsocktype /*purpose*/, curl_sockaddr *address) -> curl_socket_t
+{
+    auto &transfer = *static_cast<impl::Transfer *>(user);
+    auto &core = *static_cast<Core *>(transfer.owner);
+    if (core.connections.counts(transfer.pool).open >= core.pools[transfer.pool].maxConnections) {
+        transfer.stop = impl::Stop::NoRoom;
+        return CURL_SOCKET_BAD;
+    }
+    const auto fd = core.connections.open(transfer.pool, address->family, address->socktype, address->protocol);
+    if (fd < 0) {
+        return CURL_SOCKET_BAD;
+    }
+    core.assign(transfer, fd);
+    return fd;
+}
+
+auto Client::Core::onCloseSocket(void *user, curl_socket_t fd) -> int
+{
+    static_cast<Core *>(user)->connections.giveBack(fd);
+    return 0;
+}
+
+auto Client::Core::onRequestDue(void *user, char * /*remoteIp*/, char * /*localIp*/, int /*remotePort*/, int /*localPort*/) -> int
+{
+    auto &transfer = *static_cast<impl::Transfer *>(user);
+    if (transfer.request.reuse == Reuse::AtMostOnce && transfer.guarded && transfer.response.bytesMayHaveBeenSent) {
+        transfer.stop = impl::Stop::Resend;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.response.bytesMayHaveBeenSent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+Client::Client(transport::EventLoop &loop, ClientOptions options)
+    : core(std::make_unique<Core>(loop, options))
+{
+}
+
+Client::~Client() = default;
+
+auto Client::send(Request request, Callback callback) -> RequestId
+{
+    return this->core->send(std::move(request), std::move(callback));
+}
+
+auto Client::cancel(RequestId id) -> void
+{
+    this->core->cancel(id);
+}
+
+auto Client::poolCounts(std::string_view pool) const -> PoolCounts
+{
+    return this->core->counts(pool);
+}
+
+} // namespace tamarackspan::http
--- /dev/null
+++ b/packages/http/src/connections.cpp
@@ -0,0 +1,282 @@
+#include "connections.h"
+
+#include "tamarackspan/base/clock.h"
+#include "tamarackspan/base/require.h"
+
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace tamarackspan::http::impl {
+
+namespace {
+
+constexpr auto keepAliveIdleSeconds = 5;
+constexpr auto keepAliveIntervalSeconds = 2;
+constexpr auto keepAliveProbes = 3;
+constexpr auto closeEvents = std::uint32_t{EPOLLIN | EPOLLRDHUP} | std::uint32_t{EPOLLET};
+
+auto countsAsOpen(SocketState state) -> bool
+{
+    return state != SocketState::Gone;
+}
+
+auto setOption(int fd, int level, int name, int value) -> void
+{
+    setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+/// Tells whether neither side has the connection open any longer.
+auto closedOnBothSides(int fd) -> bool
+{
+    auto info = tcp_info{};
+    auto size = socklen_t{sizeof(info)};
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return true;
+    }
+    return info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_TIME_WAIT || info.tcpi_state == TCP_LAST_ACK || info.tcpi_state == TCP_CLOSING;
+}
+
+auto resetOnClose(int fd) -> void
+{
+    const auto lingering = linger{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &lingering, sizeof(lingering));
+}
+
+} // namespace
+
+Connections::Connections(transport::EventLoop &loop, Limits limits, IoHandler onIo, RoomHandler onRoom)
+    : loop(loop),
+      limits(limits),
+      onIo(std::move(onIo)),
+      onRoom(std::move(onRoom))
+{
+}
+
+Connections::~Connections()
+{
+    for (auto &[fd, socket] : this->sockets) {
+        this->loop.unwatch(fd);
+        this->loop.cancelTimer(socket.closeTimer);
+        close(fd);
+    }
+}
+
+auto Connections::open(PoolNumber pool, int family, int type, int protocol) -> int
+{
+    const auto fd = ::socket(family, type | SOCK_CLOEXEC | SOCK_NONBLOCK, protocol);
+    if (fd < 0) {
+        return -1;
+    }
+    setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(absl::ToInt64Milliseconds(this->limits.unacknowledged)));
+    setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    this->sockets[fd] = Socket{.pool = pool};
+    ++this->pools[pool].open;
+    return fd;
+}
+
+auto Connections::setState(Socket &socket, SocketState state) -> void
+{
+    auto &counts = this->pools[socket.pool];
+    counts.idle -= socket.state == SocketState::Idle ? 1U : 0U;
+    counts.idle += state == SocketState::Idle ? 1U : 0U;
+    const auto freed = countsAsOpen(socket.state) && !countsAsOpen(state);
+    counts.open -= freed ? 1U : 0U;
+    socket.state = state;
+}
+
+auto Connections::giveBack(int fd) -> void
+{
+    const auto found = this->sockets.find(fd);
+    base::require(found != this->sockets.end(), "libcurl gives back only sockets that it got");
+    auto &socket = found->second;
+    if (socket.state == SocketState::Gone) {
+        this->closeNow(fd);
+        return;
+    }
+    const auto retiring = socket.state == SocketState::Retiring;
+    this->setState(socket, SocketState::Closing);
+    if (!retiring) {
+        this->shutDown(fd, socket);
+    }
+}
+
+auto Connections::shutDown(int fd, Socket &socket) -> void
+{
+    ::shutdown(fd, SHUT_RDWR);
+    // The loop's watch is replaced rather than changed, since the edge may have passed.
+    this->loop.watch(fd, closeEvents, [this, fd](std::uint32_t events) {
+        this->onEvents(fd, events);
+    });
+    socket.watched = closeEvents;
+    socket.closeTimer = this->loop.runAt(closedOnBothSides(fd) ? absl::InfinitePast() : base::monotonicNow() + this->limits.closeConfirm, [this, fd] {
+        this->onConfirmOverdue(fd);
+    });
+}
+
+auto Connections::onEvents(int fd, std::uint32_t events) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found == this->sockets.end()) {
+        return;
+    }
+    auto &socket = found->second;
+    switch (socket.state) {
+    case SocketState::Busy:
+        this->onIo(fd, events);
+        break;
+    case SocketState::Idle:
+        // The server closed it, or sent what nobody asked for.
+        this->setState(socket, SocketState::Retiring);
+        this->shutDown(fd, socket);
+        break;
+    case SocketState::Retiring:
+    case SocketState::Closing:
+        if (closedOnBothSides(fd)) {
+            this->onServerClosed(fd);
+        }
+        break;
+    case SocketState::Gone:
+        break;
+    }
+}
+
+auto Connections::onConfirmOverdue(int fd) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found == this->sockets.end()) {
+        return;
+    }
+    found->second.closeTimer = 0;
+    if (!closedOnBothSides(fd)) {
+        resetOnClose(fd);
+    }
+    this->onServerClosed(fd);
+}
+
+auto Connections::onServerClosed(int fd) -> void
+{
+    auto &socket = this->sockets.at(fd);
+    const auto pool = socket.pool;
+    const auto closing = socket.state == SocketState::Closing;
+    this->setState(socket, SocketState::Gone);
+    this->loop.unwatch(fd);
+    this->loop.cancelTimer(std::exchange(socket.closeTimer, 0));
+    socket.watched = 0;
+    if (closing) {
+        this->closeNow(fd);
+    }
+    this->onRoom(pool);
+}
+
+auto Connections::closeNow(int fd) -> void
+{
+    const auto found = this->sockets.find(fd);
+    this->loop.unwatch(fd);
+    this->loop.cancelTimer(found->second.closeTimer);
+    this->sockets.erase(found);
+    close(fd);
+}
+
+auto Connections::want(int fd, std::uint32_t events) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found == this->sockets.end() || found->second.state == SocketState::Gone || found->second.state == SocketState::Retiring
+        || found->second.state == SocketState::Closing) {
+        return;
+    }
+    auto &socket = found->second;
+    socket.wanted = events;
+    // A socket that libcurl doesn't wait for stays watched for input: the server may close it while it is idle.
+    const auto watching = events != 0 ? events : std::uint32_t{EPOLLIN};
+    if (socket.watched == watching) {
+        return;
+    }
+    if (socket.watched == 0) {
+        this->loop.watch(fd, watching, [this, fd](std::uint32_t ready) {
+            this->onEvents(fd, ready);
+        });
+    } else {
+        this->loop.change(fd, watching);
+    }
+    socket.watched = watching;
+}
+
+auto Connections::markBusy(int fd) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found != this->sockets.end() && found->second.state == SocketState::Idle) {
+        this->setState(found->second, SocketState::Busy);
+    }
+}
+
+auto Connections::markIdle(int fd, absl::Time now) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found != this->sockets.end() && (found->second.state == SocketState::Busy || found->second.state == SocketState::Idle)) {
+        found->second.lastUsed = now;
+        this->setState(found->second, SocketState::Idle);
+    }
+}
+
+auto Connections::retireOldestIdle(PoolNumber pool) -> bool
+{
+    auto oldest = this->sockets.end();
+    for (auto it = this->sockets.begin(); it != this->sockets.end(); ++it) {
+        if (it->second.pool != pool) {
+            continue;
+        }
+        if (it->second.state == SocketState::Retiring || it->second.state == SocketState::Closing) {
+            return false;
+        }
+        if (it->second.state == SocketState::Idle && (oldest == this->sockets.end() || it->second.lastUsed < oldest->second.lastUsed)) {
+            oldest = it;
+        }
+    }
+    if (oldest == this->sockets.end()) {
+        return false;
+    }
+    this->setState(oldest->second, SocketState::Retiring);
+    this->shutDown(oldest->first, oldest->second);
+    return true;
+}
+
+auto Connections::hasIdleSince(PoolNumber pool, absl::Time time) const -> bool
+{
+    return std::any_of(this->sockets.begin(), this->sockets.end(), [pool, time](const auto &entry) {
+        return entry.second.pool == pool && entry.second.state == SocketState::Idle && entry.second.lastUsed >= time;
+    });
+}
+
+auto Connections::lastUsed(int fd) const -> absl::Time
+{
+    const auto found = this->sockets.find(fd);
+    return found == this->sockets.end() ? absl::InfinitePast() : found->second.lastUsed;
+}
+
+auto Connections::retireOverdue(absl::Time now) -> void
+{
+    for (auto &[fd, socket] : this->sockets) {
+        if (socket.state == SocketState::Idle && now - socket.lastUsed > this->limits.idle) {
+            this->setState(socket, SocketState::Retiring);
+            this->shutDown(fd, socket);
+        }
+    }
+}
+
+auto Connections::counts(PoolNumber pool) const -> SocketCounts
+{
+    const auto found = this->pools.find(pool);
+    return found == this->pools.end() ? SocketCounts{} : found->second;
+}
+
+} // namespace tamarackspan::http::impl
--- /dev/null
+++ b/packages/http/src/connections.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "tamarackspan/transport/event_loop.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace tamarackspan::http::impl {
+
+/// What a socket is doing. Every socket but a gone one counts as open at the server.
+enum class SocketState {
+    /// Connecting, or carrying a request.
+    Busy,
+    /// Open and without a request; libcurl may use it again.
+    Idle,
+    /// Shut down here while libcurl still has it; the server hasn't closed its side yet.
+    Retiring,
+    /// As Retiring, and the server has closed its side.
+    Gone,
+    /// Given back by libcurl; waits for the server to close its side.
+    Closing,
+};
+
+/// Counts of one pool's sockets.
+struct SocketCounts
+{
+    std::uint32_t open = 0;
+    std::uint32_t idle = 0;
+};
+
+/// Owns the sockets that libcurl opens, from socket() to close(), and counts them by pool as the server sees them: a closed socket counts until the server has
+/// closed its own side as well, or until a limit has passed and the socket was reset.
+class Connections
+{
+public:
+    using PoolNumber = std::uint32_t;
+    /// Called with what is ready (EPOLLIN and so on) on a socket that libcurl waits for.
+    using IoHandler = std::function<void(int fd, std::uint32_t events)>;
+    /// Called when a pool has room for one more connection than before.
+    using RoomHandler = std::function<void(PoolNumber pool)>;
+
+    struct Limits
+    {
+        absl::Duration idle;
+        absl::Duration closeConfirm;
+        absl::Duration unacknowledged;
+    };
+
+    Connections(transport::EventLoop &loop, Limits limits, IoHandler onIo, RoomHandler onRoom);
+    /// Closes the sockets that still wait for their server; libcurl must have given back all others.
+    ~Connections();
+    Connections(const Connections &) = delete;
+    auto operator=(const Connections &) -> Connections & = delete;
+
+    /// Makes a socket for libcurl; -1 if the system has none left.
+    auto open(PoolNumber pool, int family, int type, int protocol) -> int;
+
+    /// Takes back a socket from libcurl: shuts it down, and closes it once the server has closed its side.
+    auto giveBack(int fd) -> void;
+
+    /// Sets the events that libcurl waits for; 0 once it waits for none.
+    auto want(int fd, std::uint32_t events) -> void;
+
+    /// Notes that an idle socket carries a request now.
+    auto markBusy(int fd) -> void;
+
+    /// Notes that a socket's exchange has ended well and that libcurl keeps it.
+    auto markIdle(int fd, absl::Time now) -> void;
+
+    /// Shuts down the pool's longest idle socket to make room. Returns false if there is none, or if one is being closed already.
+    auto retireOldestIdle(PoolNumber pool) -> bool;
+
+    /// Tells whether the pool has an idle socket that was used at or after the given time.
+    [[nodiscard]] auto hasIdleSince(PoolNumber pool, absl::Time time) const -> bool;
+
+    /// Returns when the last good exchange over a socket ended; the infinite past if there was none.
+    [[nodiscard]] auto lastUsed(int fd) const -> absl::Time;
+
+    /// Shuts down all sockets that have been idle for longer than the limit.
+    auto retireOverdue(absl::Time now) -> void;
+
+    [[nodiscard]] auto counts(PoolNumber pool) const -> SocketCounts;
+
+private:
+    struct Socket
+    {
+        PoolNumber pool = 0;
+        SocketState state = SocketState::Busy;
+        /// The events watched for in the loop; 0 if not watched.
+        std::uint32_t watched = 0;
+        /// The events that libcurl waits for.
+        std::uint32_t wanted = 0;
+        absl::Time lastUsed = absl::InfinitePast();
+        transport::TimerId closeTimer = 0;
+    };
+
+    auto shutDown(int fd, Socket &socket) -> void;
+    auto onEvents(int fd, std::uint32_t events) -> void;
+    auto onServerClosed(int fd) -> void;
+    auto onConfirmOverdue(int fd) -> void;
+    auto closeNow(int fd) -> void;
+    auto setState(Socket &socket, SocketState state) -> void;
+
+    transport::EventLoop &loop;
+    Limits limits;
+    IoHandler onIo;
+    RoomHandler onRoom;
+    absl::flat_hash_map<int, Socket> sockets;
+    absl::flat_hash_map<PoolNumber, SocketCounts> pools;
+};
+
+} // namespace tamarackspan::http::impl
