Read contracts, services and host lists from TOML

Every fault of a text is now reported at once with place, dotted key and what was expected; unknown keys are errors; a removed document carries nothing but its names.

--- a/packages/contracts/include/tamarackspan/contracts/contract.h
+++ b/packages/contracts/include/tamarackspan/contracts/contract.h
@@ -32,6 +32,8 @@
     /// The part of the limits that each data centre enforces, in thousandths. The sum is at most 1,000; a data centre not named has none.
     std::map<base::DataCentre, std::uint32_t> dataCentrePermille;
     std::map<base::OperationName, Operation> operations;
+    /// The contract has ended: nothing of it but the customer's name counts, and every request of the customer is refused.
+    bool removed = false;
 
     friend auto operator==(const Contract &, const Contract &) -> bool = default;
 };
--- a/packages/contracts/include/tamarackspan/contracts/parse.h
+++ b/packages/contracts/include/tamarackspan/contracts/parse.h
@@ -12,7 +12,7 @@
 
 namespace tamarackspan::contracts {
 
-/// Every fault found in a text, in the order of the text; never empty when returned as an error.
+/// Every fault found in a text, at most maxReportedErrors, in the order of the text; never empty when returned as an error.
 using ConfigErrors = std::vector<base::ConfigError>;
 
 /// Reads a contract from TOML. Depends on the text alone, so that each host accepts or rejects it alike. Unknown keys are errors. `path` names the text in
--- a/packages/contracts/include/tamarackspan/contracts/service.h
+++ b/packages/contracts/include/tamarackspan/contracts/service.h
@@ -50,6 +50,8 @@
     std::map<base::LeafId, Leaf> leafs;
     /// In ascending order of the shard's number.
     std::vector<Shard> shards;
+    /// The service has ended in this data centre: nothing of it but the names counts.
+    bool removed = false;
 
     friend auto operator==(const Service &, const Service &) -> bool = default;
 };
