--- a/packages/daemon/include/tamarackspan/daemon/accounting.h
+++ b/packages/daemon/include/tamarackspan/daemon/accounting.h
@@ -22,6 +22,13 @@
 
     friend auto operator==(const CostAccount &, const CostAccount &) -> bool = default;
     friend auto operator<=>(const CostAccount &, const CostAccount &) = default;
+
+    /// Makes accounts usable as keys of Abseil's hash containers.
+    template<typename H>
+    friend auto AbslHashValue(H state, const CostAccount &account) -> H
+    {
+        return H::combine(std::move(state), account.customer, account.operation);
+    }
 };
 
 /// Why a leaf request was sent.
--- a/packages/daemon/include/tamarackspan/daemon/answer.h
+++ b/packages/daemon/include/tamarackspan/daemon/answer.h
@@ -16,7 +16,7 @@
 {
     double score = 0;
     std::string key;
-    nlohmann::json content;
+    nlohmann::ordered_json content;
 };
 
 /// Reads the body of a leaf's answer. Returns nothing unless it is a JSON array of objects that each have a text "key" and a number "score".
--- a/packages/daemon/include/tamarackspan/daemon/caller_reply.h
+++ b/packages/daemon/include/tamarackspan/daemon/caller_reply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackspan/base/ids.h"
+#include "tamarackspan/execution/outcome.h"
 #include "tamarackspan/http/server_request.h"
 
 #include "absl/time/time.h"
@@ -12,14 +13,10 @@
 namespace tamarackspan::daemon {
 
 /// Whether a caller's request was run.
-enum class RunState {
-    NotRun,
-    MayHaveRun,
-    Run,
-};
+using execution::RunState;
 
 /// Returns the state's name as callers see it: "not-run", "may-have-run" or "run".
-[[nodiscard]] auto toString(RunState state) noexcept -> std::string_view;
+[[nodiscard]] auto callerText(RunState state) noexcept -> std::string_view;
 
 /// Why a request was refused or ended without an answer. The names that callers see are those of docs/CALLER-API.md.
 enum class RefusalKind {
@@ -69,7 +66,7 @@
 /// Returns the HTTP response for a refusal.
 [[nodiscard]] auto refusalResponse(const Refusal &refusal) -> http::ServerResponse;
 
-/// Returns a 200 whose body is JSON and whose headers say that the request was run.
-[[nodiscard]] auto answerResponse(std::string json) -> http::ServerResponse;
+/// Returns a response with a JSON body and a header that tells whether the request was run.
+[[nodiscard]] auto answerResponse(std::string json, RunState run = RunState::Ran, std::uint32_t status = 200) -> http::ServerResponse;
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/include/tamarackspan/daemon/leaf_owner.h
+++ b/packages/daemon/include/tamarackspan/daemon/leaf_owner.h
@@ -18,7 +18,7 @@
 
 namespace tamarackspan::daemon {
 
-/// Names one piece of work at an owner; 0 names none.
+/// Names one piece of work at an owner.
 using LeafWorkId = std::uint64_t;
 
 /// The leaf-owner role on one traffic thread: keeps the connections, slots and queues of the leafs that fall to this host and this thread.
@@ -33,11 +33,11 @@
     /// Goes by a new view from now on.
     auto takeUp(ControlViewPtr newView) -> void;
 
-    /// Takes a request in. Its reply comes later, or from within this call.
-    auto submit(LeafWork work) -> LeafWorkId;
+    /// Takes a request in under a number that no other request of this owner has. Its reply comes later, or from within this call.
+    auto submit(LeafWorkId number, LeafWork work) -> void;
 
     /// Cancels a request; its reply still comes. One that isn't known changes nothing.
-    auto cancel(LeafWorkId id) -> void;
+    auto cancel(LeafWorkId number) -> void;
 
     /// Returns how many requests wait or run.
     [[nodiscard]] auto pendingWork() const noexcept -> std::size_t;
@@ -66,7 +66,6 @@
     Accounting &accounting;
     http::Client client;
     ControlViewPtr view;
-    std::uint64_t lastWork = 0;
     transport::TimerId refreshTimer = 0;
     absl::flat_hash_map<base::LeafId, std::unique_ptr<LeafRecord>> records;
     absl::flat_hash_map<routing::QueueRequestId, WorkState> works;
--- a/packages/daemon/include/tamarackspan/daemon/wire_conversion.h
+++ b/packages/daemon/include/tamarackspan/daemon/wire_conversion.h
@@ -15,6 +15,9 @@
 [[nodiscard]] auto toWire(RunState state) noexcept -> wire::RunState;
 [[nodiscard]] auto fromWire(wire::RunState state) noexcept -> RunState;
 
+/// Reads the kind of a refusal as numbered on the inner protocol; an unknown number counts as OutcomeUnknown.
+[[nodiscard]] auto refusalFromWire(std::uint8_t number) noexcept -> RefusalKind;
+
 /// Returns text as bytes and back.
 [[nodiscard]] auto toBytes(const std::string &text) -> std::vector<std::uint8_t>;
 [[nodiscard]] auto toText(const std::vector<std::uint8_t> &bytes) -> std::string;
--- /dev/null
+++ b/packages/daemon/src/admission_gate.cpp
@@ -0,0 +1,106 @@
+#include "tamarackspan/daemon/admission_gate.h"
+
+#include "tamarackspan/base/clock.h"
+
+#include <utility>
+#include <variant>
+
+namespace tamarackspan::daemon {
+
+AdmissionGate::AdmissionGate(const admission::AdmissionConfig &config)
+    : state(admission::makeAdmission(config))
+{
+}
+
+auto AdmissionGate::offer(admission::Request request, DecisionHandler handler) -> void
+{
+    request.token = admission::RequestToken(++this->lastToken);
+    auto decision = admission::Decision();
+    {
+        const auto lock = std::lock_guard(this->mutex);
+        decision = admission::offer(this->state, request, base::monotonicNow());
+        if (std::holds_alternative<admission::Queued>(decision)) {
+            this->waiting.emplace(request.token, std::move(handler));
+            return;
+        }
+    }
+    handler(request.token, decision);
+}
+
+auto AdmissionGate::finished(admission::RequestToken token) -> void
+{
+    auto decisions = std::vector<Told>();
+    {
+        const auto lock = std::lock_guard(this->mutex);
+        decisions = this->collect(admission::finished(this->state, token, base::monotonicNow()));
+    }
+    tell(decisions);
+}
+
+auto AdmissionGate::tick() -> void
+{
+    auto decisions = std::vector<Told>();
+    {
+        const auto lock = std::lock_guard(this->mutex);
+        if (this->waiting.empty()) {
+            return;
+        }
+        const auto now = base::monotonicNow();
+        decisions = this->collect(admission::expire(this->state, now));
+        auto started = this->collect(admission::tick(this->state, now));
+        std::move(started.begin(), started.end(), std::back_inserter(decisions));
+    }
+    tell(decisions);
+}
+
+auto AdmissionGate::setBudget(const base::CustomerName &customer, const admission::BudgetSchedule &budget) -> void
+{
+    const auto lock = std::lock_guard(this->mutex);
+    admission::setBudget(this->state, customer, budget, base::monotonicNow());
+}
+
+auto AdmissionGate::removeBudget(const base::CustomerName &customer) -> void
+{
+    const auto lock = std::lock_guard(this->mutex);
+    admission::removeBudget(this->state, customer);
+}
+
+auto AdmissionGate::takeDemand(const base::CustomerName &customer) -> admission::DemandCounts
+{
+    const auto lock = std::lock_guard(this->mutex);
+    return admission::takeDemand(this->state, customer, base::monotonicNow());
+}
+
+auto AdmissionGate::runningOf(const base::CustomerName &customer) const -> std::uint32_t
+{
+    const auto lock = std::lock_guard(this->mutex);
+    const auto known = this->state.customers.find(customer);
+    return known == this->state.customers.end() ? 0 : known->second.running;
+}
+
+auto AdmissionGate::pending() const -> std::size_t
+{
+    const auto lock = std::lock_guard(this->mutex);
+    return this->state.running.size() + this->waiting.size();
+}
+
+auto AdmissionGate::collect(const std::vector<admission::LateDecision> &decisions) -> std::vector<Told>
+{
+    auto told = std::vector<Told>();
+    for (const auto &late : decisions) {
+        auto node = this->waiting.extract(late.token);
+        if (!node.empty()) {
+            told.push_back({std::move(node.mapped()), late.token, late.decision});
+        }
+    }
+    return told;
+}
+
+auto AdmissionGate::tell(const std::vector<Told> &decisions) -> void
+{
+    for (const auto &told : decisions) {
+        told.handler(told.token, told.decision);
+    }
+}
+
+} // namespace tamarackspan::daemon
--- a/packages/daemon/src/answer.cpp
+++ b/packages/daemon/src/answer.cpp
@@ -12,7 +12,7 @@
     return a.score != b.score ? a.score > b.score : a.key < b.key;
 }
 
-auto isRow(const nlohmann::json &value) -> bool
+auto isRow(const nlohmann::ordered_json &value) -> bool
 {
     if (!value.is_object()) {
         return false;
@@ -26,7 +26,7 @@
 
 auto parseRows(const std::string &body) -> std::optional<std::vector<Row>>
 {
-    auto parsed = nlohmann::json::parse(body, nullptr, false);
+    auto parsed = nlohmann::ordered_json::parse(body, nullptr, false);
     if (!parsed.is_array() || !std::all_of(parsed.begin(), parsed.end(), isRow)) {
         return std::nullopt;
     }
--- a/packages/daemon/src/caller_reply.cpp
+++ b/packages/daemon/src/caller_reply.cpp
@@ -62,15 +62,15 @@
 
 } // namespace
 
-auto toString(RunState state) noexcept -> std::string_view
+auto callerText(RunState state) noexcept -> std::string_view
 {
     switch (state) {
     case RunState::NotRun:
         return "not-run";
-    case RunState::MayHaveRun:
-        return "may-have-run";
-    case RunState::Run:
+    case RunState::Ran:
         return "run";
+    case RunState::MayHaveRun:
+        break;
     }
     return "may-have-run";
 }
@@ -89,11 +89,11 @@
 {
     auto error = nlohmann::ordered_json();
     error["reason"] = std::string(toString(refusal.kind));
-    error["run"] = std::string(toString(refusal.run));
+    error["run"] = std::string(callerText(refusal.run));
     error["message"] = refusal.message;
     auto response = http::ServerResponse();
     response.status = statusOf(refusal.kind);
-    response.headers = {{"Content-Type", jsonType}, {runHeader, std::string(toString(refusal.run))}};
+    response.headers = {{"Content-Type", jsonType}, {runHeader, std::string(callerText(refusal.run))}};
     if (refusal.retryAfter > absl::ZeroDuration()) {
         const auto millis = absl::ToInt64Milliseconds(absl::Ceil(refusal.retryAfter, absl::Milliseconds(1)));
         error["retry_after_ms"] = millis;
@@ -103,10 +103,11 @@
     return response;
 }
 
-auto answerResponse(std::string json) -> http::ServerResponse
+auto answerResponse(std::string json, RunState run, std::uint32_t status) -> http::ServerResponse
 {
     auto response = http::ServerResponse();
-    response.headers = {{"Content-Type", jsonType}, {runHeader, std::string(toString(RunState::Run))}};
+    response.status = status;
+    response.headers = {{"Content-Type", jsonType}, {runHeader, std::string(callerText(run))}};
     response.body = std::move(json);
     return response;
 }
--- a/packages/daemon/src/leaf_http.cpp
+++ b/packages/daemon/src/leaf_http.cpp
@@ -68,9 +68,9 @@
 };
 
 constexpr auto namedOutcomes = std::array{
-    NamedOutcome{"complete", query::LeafOutcome::Complete, RunState::Run, routing::RunEnd::Answered, true},
-    NamedOutcome{"partial", query::LeafOutcome::Partial, RunState::Run, routing::RunEnd::Answered, true},
-    NamedOutcome{"executed", query::LeafOutcome::Complete, RunState::Run, routing::RunEnd::Answered, false},
+    NamedOutcome{"complete", query::LeafOutcome::Complete, RunState::Ran, routing::RunEnd::Answered, true},
+    NamedOutcome{"partial", query::LeafOutcome::Partial, RunState::Ran, routing::RunEnd::Answered, true},
+    NamedOutcome{"executed", query::LeafOutcome::Complete, RunState::Ran, routing::RunEnd::Answered, false},
     NamedOutcome{"rejected", query::LeafOutcome::Complete, RunState::NotRun, routing::RunEnd::Answered, false},
     NamedOutcome{"not-held", query::LeafOutcome::NotHeld, RunState::NotRun, routing::RunEnd::Declined, false},
     NamedOutcome{"shed", query::LeafOutcome::Shed, RunState::NotRun, routing::RunEnd::Shed, false},
@@ -159,7 +159,9 @@
     reply.held = heldVersions(response);
     reply.leafDraining = textOf(response, "Draining") == "true";
     const auto name = textOf(response, "Outcome");
-    const auto *known = std::find_if(namedOutcomes.begin(), namedOutcomes.end(), [&](const NamedOutcome &candidate) { return candidate.name == name; });
+    const auto *known = std::find_if(namedOutcomes.begin(), namedOutcomes.end(), [&](const NamedOutcome &candidate) {
+        return candidate.name == name;
+    });
     if (known == namedOutcomes.end()) {
         reply.run = RunState::MayHaveRun;
         reply.reason = "the leaf named no known outcome";
@@ -174,7 +176,7 @@
     if (known->hasRows) {
         reply.pin = query::Pin{base::IndexVersion(numberOf(response, "Index-Version")), base::Revision(numberOf(response, "Map-Generation"))};
     }
-    if (known->run != RunState::Run) {
+    if (known->run != RunState::Ran) {
         reply.reason = std::string(name);
     }
     return result;
--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -83,12 +83,12 @@
 };
 
 LeafOwner::LeafOwner(transport::EventLoop &loop, HostIdentity identity, const Lease &lease, Accounting &accounting)
-    : loop(loop)
-    , identity(std::move(identity))
-    , lease(lease)
-    , accounting(accounting)
-    , client(loop, http::ClientOptions())
-    , view(std::make_shared<const ControlView>())
+    : loop(loop),
+      identity(std::move(identity)),
+      lease(lease),
+      accounting(accounting),
+      client(loop, http::ClientOptions()),
+      view(std::make_shared<const ControlView>())
 {
     this->scheduleRefresh();
 }
@@ -181,26 +181,25 @@
     this->perform(record, std::move(actions));
 }
 
-auto LeafOwner::submit(LeafWork work) -> LeafWorkId
+auto LeafOwner::submit(LeafWorkId number, LeafWork work) -> void
 {
     const auto now = base::monotonicNow();
     auto *record = this->recordOf(work.service, work.leaf);
     if (record == nullptr || !this->lease.isInForce(now)) {
         work.reply(rejection(routing::QueueRejection::NotOwner));
-        return 0;
+        return;
     }
-    const auto id = routing::QueueRequestId(++this->lastWork);
+    const auto id = routing::QueueRequestId(number);
     const auto request = routing::QueueRequest{id, work.priority, work.deadline};
     this->works.emplace(id, WorkState{std::move(work), record, 0});
     auto actions = std::vector<routing::QueueAction>();
     routing::submit(record->queue, request, now, actions);
     this->perform(*record, std::move(actions));
-    return id.get();
 }
 
-auto LeafOwner::cancel(LeafWorkId id) -> void
+auto LeafOwner::cancel(LeafWorkId number) -> void
 {
-    const auto known = this->works.find(routing::QueueRequestId(id));
+    const auto known = this->works.find(routing::QueueRequestId(number));
     if (known == this->works.end()) {
         return;
     }
@@ -239,8 +238,9 @@
         return;
     }
     auto request = leafRequest(record.leaf, record.queue.share.connections, known->second.work, now, record.queue.policy.slotGrace);
-    known->second.request =
-        this->client.send(std::move(request), [this, &record, id](const http::Response &response) { this->onResponse(record, id, response); });
+    known->second.request = this->client.send(std::move(request), [this, &record, id](const http::Response &response) {
+        this->onResponse(record, id, response);
+    });
 }
 
 auto LeafOwner::reject(routing::QueueRequestId id, routing::QueueRejection why) -> void
--- a/packages/daemon/src/wire_conversion.cpp
+++ b/packages/daemon/src/wire_conversion.cpp
@@ -55,7 +55,7 @@
     switch (state) {
     case RunState::NotRun:
         return wire::RunState::NotRun;
-    case RunState::Run:
+    case RunState::Ran:
         return wire::RunState::Run;
     case RunState::MayHaveRun:
         break;
@@ -69,12 +69,17 @@
     case wire::RunState::NotRun:
         return RunState::NotRun;
     case wire::RunState::Run:
-        return RunState::Run;
+        return RunState::Ran;
     default:
         return RunState::MayHaveRun;
     }
 }
 
+auto refusalFromWire(std::uint8_t number) noexcept -> RefusalKind
+{
+    return number <= static_cast<std::uint8_t>(RefusalKind::Stopping) ? static_cast<RefusalKind>(number) : RefusalKind::OutcomeUnknown;
+}
+
 auto toBytes(const std::string &text) -> std::vector<std::uint8_t>
 {
     return {text.begin(), text.end()};
--- a/packages/logging/include/tamarackspan/logging/logger.h
+++ b/packages/logging/include/tamarackspan/logging/logger.h
@@ -42,13 +42,24 @@
     std::string name;
     std::string value;
 
-    /// Takes any value that absl::StrCat takes.
+    /// Takes a text, or any number that absl::StrCat takes.
     template<typename T>
     Field(std::string_view name, const T &value)
         : name(name),
-          value(absl::StrCat(value))
+          value(toText(value))
     {
     }
+
+private:
+    template<typename T>
+    static auto toText(const T &value) -> std::string
+    {
+        if constexpr (std::is_convertible_v<T, std::string_view>) {
+            return std::string(std::string_view(value));
+        } else {
+            return absl::StrCat(value);
+        }
+    }
 };
 
 /// Sets where the lines of this process go. Call it once, before other threads start.
--- a/packages/wire/include/tamarackspan/wire/inner_generated.h
+++ b/packages/wire/include/tamarackspan/wire/inner_generated.h
@@ -1879,6 +1879,7 @@
   std::string reason{};
   uint64_t costMicros = 0;
   bool reachedLeaf = false;
+  uint8_t refusal = 0;
   std::vector<uint8_t> body{};
 };
 
@@ -1893,7 +1894,8 @@
     VT_REASON = 10,
     VT_COSTMICROS = 12,
     VT_REACHEDLEAF = 14,
-    VT_BODY = 16
+    VT_REFUSAL = 16,
+    VT_BODY = 18
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -1913,6 +1915,9 @@
   bool reachedLeaf() const {
     return GetField<uint8_t>(VT_REACHEDLEAF, 0) != 0;
   }
+  uint8_t refusal() const {
+    return GetField<uint8_t>(VT_REFUSAL, 0);
+  }
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
@@ -1925,6 +1930,7 @@
            verifier.VerifyString(reason()) &&
            VerifyField<uint64_t>(verifier, VT_COSTMICROS, 8) &&
            VerifyField<uint8_t>(verifier, VT_REACHEDLEAF, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSAL, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
            verifier.EndTable();
@@ -1956,6 +1962,9 @@
   void add_reachedLeaf(bool reachedLeaf) {
     fbb_.AddElement<uint8_t>(ExecuteReply::VT_REACHEDLEAF, static_cast<uint8_t>(reachedLeaf), 0);
   }
+  void add_refusal(uint8_t refusal) {
+    fbb_.AddElement<uint8_t>(ExecuteReply::VT_REFUSAL, refusal, 0);
+  }
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(ExecuteReply::VT_BODY, body);
   }
@@ -1978,12 +1987,14 @@
     flatbuffers::Offset<flatbuffers::String> reason = 0,
     uint64_t costMicros = 0,
     bool reachedLeaf = false,
+    uint8_t refusal = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   ExecuteReplyBuilder builder_(_fbb);
   builder_.add_costMicros(costMicros);
   builder_.add_request(request);
   builder_.add_body(body);
   builder_.add_reason(reason);
+  builder_.add_refusal(refusal);
   builder_.add_reachedLeaf(reachedLeaf);
   builder_.add_rejected(rejected);
   builder_.add_run(run);
@@ -2003,6 +2014,7 @@
     const char *reason = nullptr,
     uint64_t costMicros = 0,
     bool reachedLeaf = false,
+    uint8_t refusal = 0,
     const std::vector<uint8_t> *body = nullptr) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2014,6 +2026,7 @@
       reason__,
       costMicros,
       reachedLeaf,
+      refusal,
       body__);
 }
 
@@ -3880,6 +3893,7 @@
       (lhs.reason == rhs.reason) &&
       (lhs.costMicros == rhs.costMicros) &&
       (lhs.reachedLeaf == rhs.reachedLeaf) &&
+      (lhs.refusal == rhs.refusal) &&
       (lhs.body == rhs.body);
 }
 
@@ -3903,6 +3917,7 @@
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
   { auto _e = costMicros(); _o->costMicros = _e; }
   { auto _e = reachedLeaf(); _o->reachedLeaf = _e; }
+  { auto _e = refusal(); _o->refusal = _e; }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
 }
 
@@ -3920,6 +3935,7 @@
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
   auto _costMicros = _o->costMicros;
   auto _reachedLeaf = _o->reachedLeaf;
+  auto _refusal = _o->refusal;
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   return tamarackspan::wire::CreateExecuteReply(
       _fbb,
@@ -3929,6 +3945,7 @@
       _reason,
       _costMicros,
       _reachedLeaf,
+      _refusal,
       _body);
 }
 
