--- a/packages/contracts/src/table_reader.cpp
+++ b/packages/contracts/src/table_reader.cpp
@@ -156,7 +156,7 @@
     const auto *number = std::get_if<std::int64_t>(&value->content);
     if (number == nullptr || *number < range.least || *number > range.most) {
         this->fail(*value, key, absl::StrCat(expected, ", found ", describe(*value)));
-        return range.least;
+        return fallback.value_or(range.least);
     }
     return *number;
 }
