Add stand-ins for leafs and the platform

Process tests need leafs and a configuration service whose faults can be scripted at run time, and which write down what they ran. Each leaf has a port of its own in one process; control has another, so that it takes none of the connections that are counted.

--- /dev/null
+++ b/packages/testkit/include/tamarackspan/testkit/history.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "absl/time/time.h"
+#include "nlohmann/json.hpp"
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::testkit {
+
+/// Returns the microseconds of base::monotonicNow(), the time of all histories: comparable between the processes of one machine.
+[[nodiscard]] auto historyTime(absl::Time time) -> std::int64_t;
+
+/// Returns the marker that a leaf stand-in echoes in every row: the member "marker" of a JSON body, else a hash of the body.
+[[nodiscard]] auto markerOf(const std::string &body) -> std::string;
+
+/// What one process saw: JSON objects in the order of their end, kept in memory and appended to a file.
+class History
+{
+public:
+    /// Appends to the file at this path; keeps the history in memory only if the path is empty.
+    explicit History(const std::string &path);
+
+    /// Appends one record.
+    auto append(const nlohmann::json &record) -> void;
+
+    /// Returns the records whose member "leaf" is the given text, or all if it is empty, as JSON lines.
+    [[nodiscard]] auto lines(const std::string &leaf) const -> std::string;
+
+private:
+    std::ofstream file;
+    std::vector<nlohmann::json> records;
+};
+
+/// Reads JSON lines; stops the process at a line that isn't JSON, but for a last line without a newline, which a killed process leaves.
+[[nodiscard]] auto parseHistory(const std::string &text) -> std::vector<nlohmann::json>;
+
+/// Reads a file of JSON lines as parseHistory does; a missing file gives no records.
+[[nodiscard]] auto readHistory(const std::string &path) -> std::vector<nlohmann::json>;
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/include/tamarackspan/testkit/leaf_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "tamarackspan/base/random.h"
+#include "tamarackspan/testkit/history.h"
+#include "tamarackspan/testkit/http_server.h"
+#include "tamarackspan/testkit/leaf_behaviour.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace tamarackspan::testkit {
+
+/// One leaf on one port that speaks the leaf protocol and writes down each request it got. The history's members are described in docs/TESTKIT.md.
+class LeafServer
+{
+public:
+    /// Starts to listen. The loop and the history outlive the server; all but the constructor, the destructor and port() is for the loop's thread.
+    LeafServer(transport::EventLoop &loop, History &history, HttpServerOptions options, LeafBehaviour behaviour);
+    ~LeafServer();
+    LeafServer(const LeafServer &) = delete;
+    auto operator=(const LeafServer &) -> LeafServer & = delete;
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t;
+
+    /// Changes the behaviour as applyBehaviour does; a change of `draining` goes into the history.
+    [[nodiscard]] auto control(const nlohmann::json &change) -> absl::Status;
+
+    /// Returns counts since the start: requests by outcome, peaks and violations of slots and connections, the summed cost.
+    [[nodiscard]] auto statistics() const -> nlohmann::json;
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+    HttpServer server;
+};
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/include/tamarackspan/testkit/leaf_stand_in.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "tamarackspan/testkit/leaf_server.h"
+#include "tamarackspan/testkit/loop_thread.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::testkit {
+
+/// Many leafs in one process with one port for control: `POST /control/LEAF` changes a leaf's behaviour, `GET /history[/LEAF]` gives the history as JSON lines
+/// and `GET /stats[/LEAF]` the counts. The control port is apart from the leafs' so that it takes none of their connections.
+class LeafStandIn
+{
+public:
+    /// Starts to listen.
+    LeafStandIn(std::uint16_t controlPort, const std::string &historyPath);
+    ~LeafStandIn();
+    LeafStandIn(const LeafStandIn &) = delete;
+    auto operator=(const LeafStandIn &) -> LeafStandIn & = delete;
+
+    /// Adds a leaf with the members of LeafBehaviour, "port" and "connections". Returns its port, or an error that names the wrong key.
+    [[nodiscard]] auto add(nlohmann::json settings) -> absl::StatusOr<std::uint16_t>;
+
+    [[nodiscard]] auto controlPort() const noexcept -> std::uint16_t;
+
+private:
+    auto control(Exchange &exchange) -> void;
+    auto find(const std::string &leaf) -> LeafServer *;
+
+    LoopThread thread;
+    History history;
+    struct Member;
+    std::vector<std::unique_ptr<Member>> members;
+    std::unique_ptr<HttpServer> controlServer;
+};
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/include/tamarackspan/testkit/platform_stand_in.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "tamarackspan/testkit/loop_thread.h"
+#include "tamarackspan/testkit/platform_server.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace tamarackspan::testkit {
+
+/// A configuration service with a port for control: `POST /control` with {"publish": {"key": K, "value": V}}, {"remove": K} or the members of
+/// PlatformServer::control(); `GET /stats` for the counts.
+class PlatformStandIn
+{
+public:
+    PlatformStandIn(std::uint16_t port, std::uint16_t controlPort);
+    ~PlatformStandIn();
+    PlatformStandIn(const PlatformStandIn &) = delete;
+    auto operator=(const PlatformStandIn &) -> PlatformStandIn & = delete;
+
+    /// Publishes each .toml file below the folder in the order of their names; the key is the path without its ending.
+    [[nodiscard]] auto publishFolder(const std::string &folder) -> absl::Status;
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t;
+    [[nodiscard]] auto controlPort() const noexcept -> std::uint16_t;
+
+private:
+    auto control(Exchange &exchange) -> void;
+    auto change(const nlohmann::json &change) -> absl::Status;
+
+    LoopThread thread;
+    std::unique_ptr<PlatformServer> server;
+    std::unique_ptr<HttpServer> controlServer;
+};
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/src/platform_server.cpp
@@ -0,0 +1,222 @@
+#include "tamarackspan/testkit/platform_server.h"
+
+#include "tamarackspan/base/clock.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackspan::testkit {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto valuesPath = "/v1/values/";
+
+/// A list call that waits for a newer revision.
+struct Watch
+{
+    std::shared_ptr<Exchange> exchange;
+    std::string prefix;
+    std::uint64_t after = 0;
+    transport::TimerId timer = 0;
+};
+
+} // namespace
+
+struct PlatformServer::State
+{
+    explicit State(transport::EventLoop &loop)
+        : loop(loop)
+    {
+    }
+
+    transport::EventLoop &loop;
+    /// The publications of each key, oldest first.
+    std::map<std::string, std::vector<Publication>> publications;
+    std::uint64_t revision = 0;
+    bool down = false;
+    std::optional<std::uint64_t> stale;
+    absl::Duration slow = absl::ZeroDuration();
+    std::list<std::shared_ptr<Watch>> watches;
+    std::uint64_t lists = 0;
+    std::uint64_t values = 0;
+
+    [[nodiscard]] auto visibleRevision() const -> std::uint64_t
+    {
+        return std::min(this->stale.value_or(this->revision), this->revision);
+    }
+
+    /// Returns the publication of the key that readers see now.
+    [[nodiscard]] auto visible(const std::string &key) const -> const Publication *
+    {
+        const auto found = this->publications.find(key);
+        if (found == this->publications.end()) {
+            return nullptr;
+        }
+        const Publication *last = nullptr;
+        for (const auto &publication : found->second) {
+            if (publication.revision <= this->visibleRevision()) {
+                last = &publication;
+            }
+        }
+        return last;
+    }
+
+    auto handle(const std::shared_ptr<Exchange> &exchange) -> void
+    {
+        const auto &request = exchange->request();
+        const auto isList = request.path == "/v1/list";
+        const auto isValue = absl::StartsWith(request.path, valuesPath);
+        if (this->down) {
+            exchange->close();
+        } else if (request.method != "GET" || (!isList && !isValue)) {
+            exchange->reply({.status = 404, .headers = {}, .body = "no such endpoint\n"});
+        } else if (isList) {
+            ++this->lists;
+            this->list(exchange);
+        } else {
+            ++this->values;
+            this->value(exchange, std::string(absl::StripPrefix(request.path, valuesPath)));
+        }
+    }
+
+    auto value(const std::shared_ptr<Exchange> &exchange, const std::string &key) -> void
+    {
+        const auto *publication = this->visible(key);
+        if (publication == nullptr || !publication->value.has_value()) {
+            this->reply(exchange, {.status = 404, .headers = {}, .body = "no such key\n"});
+            return;
+        }
+        this->reply(exchange,
+                    {.status = 200, .headers = {{.name = "Platform-Revision", .value = absl::StrCat(publication->revision)}}, .body = *publication->value});
+    }
+
+    auto list(const std::shared_ptr<Exchange> &exchange) -> void
+    {
+        const auto &request = exchange->request();
+        auto watch = std::make_shared<Watch>();
+        watch->exchange = exchange;
+        watch->prefix = request.argument("prefix");
+        auto waitMillis = std::int64_t{0};
+        const auto waits = absl::SimpleAtoi(request.argument("after"), &watch->after) && absl::SimpleAtoi(request.argument("wait_ms"), &waitMillis);
+        if (!waits || waitMillis <= 0 || this->hasNews(*watch)) {
+            this->answer(*watch);
+            return;
+        }
+        this->watches.push_back(watch);
+        watch->timer = this->loop.runAt(base::monotonicNow() + absl::Milliseconds(waitMillis), [this, watch] {
+            this->watches.remove(watch);
+            this->answer(*watch);
+        });
+        exchange->onGone([this, watch] {
+            this->loop.cancelTimer(watch->timer);
+            this->watches.remove(watch);
+        });
+    }
+
+    [[nodiscard]] auto hasNews(const Watch &watch) const -> bool
+    {
+        return std::any_of(this->publications.begin(), this->publications.end(), [this, &watch](const auto &entry) {
+            const auto *publication = absl::StartsWith(entry.first, watch.prefix) ? this->visible(entry.first) : nullptr;
+            return publication != nullptr && publication->revision > watch.after;
+        });
+    }
+
+    auto answer(const Watch &watch) -> void
+    {
+        auto keys = Json::object();
+        for (const auto &[key, history] : this->publications) {
+            const auto *publication = absl::StartsWith(key, watch.prefix) ? this->visible(key) : nullptr;
+            if (publication != nullptr && publication->value.has_value()) {
+                keys[key] = publication->revision;
+            }
+        }
+        this->reply(watch.exchange, {.status = 200, .headers = {}, .body = Json{{"revision", this->visibleRevision()}, {"keys", keys}}.dump()});
+    }
+
+    auto reply(const std::shared_ptr<Exchange> &exchange, HttpReply reply) -> void
+    {
+        if (this->slow <= absl::ZeroDuration()) {
+            exchange->reply(std::move(reply));
+            return;
+        }
+        this->loop.runAt(base::monotonicNow() + this->slow, [exchange, reply = std::move(reply)] {
+            exchange->reply(reply);
+        });
+    }
+
+    auto wake() -> void
+    {
+        for (const auto &watch : std::list(this->watches)) {
+            if (this->down) {
+                this->loop.cancelTimer(watch->timer);
+                this->watches.remove(watch);
+                watch->exchange->close();
+            } else if (this->hasNews(*watch)) {
+                this->loop.cancelTimer(watch->timer);
+                this->watches.remove(watch);
+                this->answer(*watch);
+            }
+        }
+    }
+};
+
+PlatformServer::PlatformServer(transport::EventLoop &loop, HttpServerOptions options)
+    : state(std::make_unique<State>(loop)),
+      server(loop, options, [this](const std::shared_ptr<Exchange> &exchange) {
+          this->state->handle(exchange);
+      })
+{
+}
+
+PlatformServer::~PlatformServer() = default;
+
+auto PlatformServer::port() const noexcept -> std::uint16_t
+{
+    return this->server.port();
+}
+
+auto PlatformServer::publish(const std::string &key, std::optional<std::string> value) -> std::uint64_t
+{
+    this->state->publications[key].push_back({.revision = ++this->state->revision, .value = std::move(value)});
+    this->state->wake();
+    return this->state->revision;
+}
+
+auto PlatformServer::control(const Json &change) -> absl::Status
+{
+    if (!change.is_object()) {
+        return absl::InvalidArgumentError("expected a JSON object");
+    }
+    for (const auto &[key, value] : change.items()) {
+        const auto wellTyped = (key == "down" && value.is_boolean()) || (key == "stale" && (value.is_null() || value.is_number_unsigned()))
+            || (key == "slow_ms" && value.is_number_unsigned());
+        if (!wellTyped) {
+            return absl::InvalidArgumentError(absl::StrCat(key, ": unknown key or wrong type"));
+        }
+    }
+    this->state->down = change.value("down", this->state->down);
+    this->state->slow = change.contains("slow_ms") ? absl::Milliseconds(change["slow_ms"].get<std::int64_t>()) : this->state->slow;
+    if (change.contains("stale")) {
+        this->state->stale = change["stale"].is_null() ? std::nullopt : std::optional(change["stale"].get<std::uint64_t>());
+    }
+    this->state->wake();
+    return absl::OkStatus();
+}
+
+auto PlatformServer::statistics() const -> Json
+{
+    return Json{{"reads", this->state->lists + this->state->values},
+                {"lists", this->state->lists},
+                {"values", this->state->values},
+                {"waiting", this->state->watches.size()},
+                {"revision", this->state->revision}};
+}
+
+} // namespace tamarackspan::testkit
