--- /dev/null
+++ b/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "tamarackspan/admission/lending.h"
+#include "tamarackspan/contracts/contract.h"
+#include "tamarackspan/daemon/admission_gate.h"
+#include "tamarackspan/daemon/host_identity.h"
+#include "tamarackspan/membership/roster.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace tamarackspan::daemon {
+
+/// Keeps what this host may use of each contract: its own part, what it lent and what it borrowed. On the control thread only.
+class BudgetKeeper
+{
+public:
+    /// Sends a message of lending to another host; loss is allowed.
+    struct Sender
+    {
+        std::function<void(const base::HostId &, const admission::BudgetAsk &)> ask;
+        std::function<void(const base::HostId &, const admission::BudgetGrant &)> grant;
+        std::function<void(const base::HostId &, const admission::BudgetReturn &)> giveBack;
+    };
+
+    using Contracts = absl::flat_hash_map<base::CustomerName, std::shared_ptr<const contracts::Contract>>;
+
+    BudgetKeeper(HostIdentity identity, admission::LendingConfig config, const membership::RosterState &roster, AdmissionGate &gate, Sender sender);
+
+    /// Goes by these contracts from now on.
+    auto takeUp(const Contracts &contracts) -> void;
+
+    /// Brings own parts, loans and budgets up to date and asks for what is missing. To be called every LendingConfig::interval.
+    auto tick(absl::Time now) -> void;
+
+    /// Handle the messages of lending.
+    auto onAsk(const admission::BudgetAsk &ask, absl::Time now) -> void;
+    auto onGrant(const admission::BudgetGrant &grant, absl::Time now) -> void;
+    auto onReturn(const admission::BudgetReturn &giveBack, absl::Time now) -> void;
+
+    /// Returns what this host may use of a customer's limits now.
+    [[nodiscard]] auto budgetOf(const base::CustomerName &customer, absl::Time now) const -> admission::Budget;
+
+    /// Returns this host's own part of a customer's limits, before lending.
+    [[nodiscard]] auto ownPartOf(const base::CustomerName &customer) const -> admission::Budget;
+
+    /// Returns the longest that a request of any customer runs.
+    [[nodiscard]] auto longestHold() const noexcept -> absl::Duration;
+
+private:
+    struct Customer
+    {
+        std::shared_ptr<const contracts::Contract> contract;
+        admission::Budget shared;
+        absl::Duration hold;
+    };
+
+    auto tickCustomer(const base::CustomerName &name, const Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void;
+    auto ownPart(const base::CustomerName &name, const Customer &customer, absl::Time now) const -> admission::OwnPart;
+    auto putInForce(const base::CustomerName &customer, absl::Time now) -> void;
+    auto ask(const base::CustomerName &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void;
+
+    HostIdentity identity;
+    const membership::RosterState &roster;
+    AdmissionGate &gate;
+    Sender sender;
+    admission::LendingState lending;
+    absl::flat_hash_map<base::CustomerName, Customer> customers;
+    std::uint64_t ticks = 0;
+};
+
+} // namespace tamarackspan::daemon
--- /dev/null
+++ b/packages/daemon/include/tamarackspan/daemon/control.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "tamarackspan/configuration/audit.h"
+#include "tamarackspan/configuration/document_store.h"
+#include "tamarackspan/configuration/exchange.h"
+#include "tamarackspan/configuration/host_settings.h"
+#include "tamarackspan/configuration/read_plan.h"
+#include "tamarackspan/daemon/budget_keeper.h"
+#include "tamarackspan/daemon/control_view.h"
+#include "tamarackspan/daemon/host_identity.h"
+#include "tamarackspan/daemon/lease.h"
+#include "tamarackspan/daemon/platform_reader.h"
+#include "tamarackspan/membership/roster.h"
+#include "tamarackspan/transport/acceptor.h"
+#include "tamarackspan/transport/event_loop.h"
+#include "tamarackspan/transport/peer_links.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <cstdint>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::daemon {
+
+/// What control hands out to the rest of the process.
+struct ControlOutputs
+{
+    /// A new view for the traffic threads.
+    std::function<void(ControlViewPtr)> onView;
+    /// A traffic connection that a peer opened.
+    std::function<void(transport::FrameConnection::Detached, wire::HelloT)> onTrafficPeer;
+};
+
+/// All control state of the process: configuration, host list, leases, budgets. Everything here is used on the control loop's thread only.
+class Control
+{
+public:
+    Control(transport::EventLoop &loop, const configuration::HostSettings &settings, HostIdentity identity, Lease &lease, AdmissionGate &gate,
+            ControlOutputs outputs);
+    ~Control();
+    Control(const Control &) = delete;
+    auto operator=(const Control &) -> Control & = delete;
+
+    /// Takes over the listening socket of the inner protocol and starts to read and to talk.
+    auto start(int listenFd) -> void;
+
+    /// Tells all peers that this host is leaving.
+    auto startDraining() -> void;
+
+    /// Returns whether this host may take requests: its configuration is known and its parts are in force.
+    [[nodiscard]] auto isReady() -> bool;
+
+    [[nodiscard]] auto settings() const -> const configuration::HostSettings &;
+    [[nodiscard]] auto documents() const -> const configuration::DocumentStore &;
+    [[nodiscard]] auto auditTrail() const -> const configuration::AuditTrail &;
+    [[nodiscard]] auto hostListState() const -> const membership::RosterState &;
+    [[nodiscard]] auto budgets() const -> const BudgetKeeper &;
+    [[nodiscard]] auto freshness() const -> configuration::ConfigurationFreshness;
+    [[nodiscard]] auto platformCalls() const -> std::uint64_t;
+    [[nodiscard]] auto platformLastAnswer() const -> absl::Time;
+    [[nodiscard]] auto currentView() const -> const ControlViewPtr &;
+    [[nodiscard]] auto openLinks() const -> std::size_t;
+    [[nodiscard]] auto isDraining() const -> bool;
+
+private:
+    [[nodiscard]] auto holdsItsPart(absl::Time now) const -> bool;
+    auto onMessage(const transport::LinkPtr &link, wire::MessageT message) -> void;
+    auto onDigest(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void;
+    auto onDigestAnswer(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void;
+    auto onList(const transport::LinkPtr &link, const configuration::ConfigList &list) -> void;
+    auto onDocuments(const configuration::ConfigDocuments &documents) -> void;
+    auto sendDigest(const transport::LinkPtr &link, std::uint64_t number, bool isAnswer) -> void;
+    auto askPeers() -> void;
+    [[nodiscard]] auto peersToAsk() const -> std::vector<base::HostId>;
+    auto applyDocument(const configuration::Document &document, configuration::DocumentSource source) -> void;
+    auto audit(const std::vector<configuration::AuditEntry> &entries) -> void;
+    auto onHostListConfirmed(absl::Time confirmedAt) -> void;
+    auto recordHostList(absl::Time confirmedAt) -> void;
+    auto renewLease() -> void;
+    auto updateWatching() -> void;
+    auto publishIfChanged() -> void;
+    auto publishView() -> void;
+    [[nodiscard]] auto ownersOf(const query::ServiceView &service, absl::Time now, absl::Duration window) const -> std::shared_ptr<const routing::OwnershipMap>;
+    [[nodiscard]] auto hostListKey() const -> std::string;
+    auto tickFast() -> void;
+    auto tickExchange() -> void;
+    auto tickBudgets() -> void;
+    template<typename T>
+    auto sendTo(const base::HostId &host, const T &message) -> void;
+
+    transport::EventLoop &loop;
+    configuration::HostSettings hostSettings;
+    HostIdentity identity;
+    Lease &lease;
+    ControlOutputs outputs;
+    configuration::DocumentStore store;
+    configuration::AuditTrail trail;
+    std::ofstream auditFile;
+    configuration::ReadPlan plan;
+    membership::RosterState roster;
+    transport::PeerLinks links;
+    PlatformReader reader;
+    BudgetKeeper budgetKeeper;
+    std::unique_ptr<transport::Acceptor> acceptor;
+    absl::flat_hash_map<base::HostId, configuration::ExchangePacer> pacers;
+    /// When each numbered digest was sent, for the age of what the answer confirms.
+    absl::flat_hash_map<std::uint64_t, absl::Time> asked;
+    std::uint64_t lastQuestion = 0;
+    std::vector<routing::HostView> hostViews;
+    ControlViewPtr view;
+    std::uint64_t publishedGeneration = 0;
+    absl::Time startedAt;
+    absl::Time republishAt = absl::InfiniteFuture();
+    bool draining = false;
+    /// As of the last update of the budgets.
+    bool partHeld = false;
+};
+
+} // namespace tamarackspan::daemon
--- /dev/null
+++ b/packages/daemon/src/budget_keeper.cpp
@@ -0,0 +1,153 @@
+#include "tamarackspan/daemon/budget_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackspan::daemon {
+
+namespace {
+
+auto holdOf(const contracts::Contract &contract) -> absl::Duration
+{
+    auto longest = absl::ZeroDuration();
+    for (const auto &[name, operation] : contract.operations) {
+        longest = std::max(longest, operation.deadline);
+    }
+    return longest;
+}
+
+auto demandOf(const admission::DemandCounts &counts) -> admission::Demand
+{
+    const auto seconds = absl::ToDoubleSeconds(counts.over);
+    const auto rate = seconds > 0 ? counts.offered / seconds : 0.0;
+    return {rate, static_cast<double>(counts.peakRunning) + counts.refusedConcurrency};
+}
+
+} // namespace
+
+BudgetKeeper::BudgetKeeper(HostIdentity identity, admission::LendingConfig config, const membership::RosterState &roster, AdmissionGate &gate, Sender sender)
+    : identity(std::move(identity)),
+      roster(roster),
+      gate(gate),
+      sender(std::move(sender))
+{
+    this->lending.self = this->identity.host;
+    this->lending.incarnation = this->identity.incarnation;
+    this->lending.config = config;
+}
+
+auto BudgetKeeper::takeUp(const Contracts &contracts) -> void
+{
+    for (auto it = this->customers.begin(); it != this->customers.end();) {
+        if (contracts.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        this->gate.removeBudget(it->first);
+        admission::removeCustomer(this->lending, it->first);
+        this->customers.erase(it++);
+    }
+    for (const auto &[name, contract] : contracts) {
+        auto &customer = this->customers[name];
+        if (customer.contract != contract) {
+            customer = {contract, admission::dataCentreBudget(*contract, this->identity.dataCentre), holdOf(*contract)};
+        }
+    }
+}
+
+auto BudgetKeeper::tick(absl::Time now) -> void
+{
+    ++this->ticks;
+    auto peers = std::vector<base::HostId>();
+    if (const auto *list = membership::newestList(this->roster)) {
+        for (const auto &host : list->hosts) {
+            if (host.id != this->identity.host && !host.leaving) {
+                peers.push_back(host.id);
+            }
+        }
+    }
+    admission::expireLoans(this->lending, now);
+    for (const auto &[name, customer] : this->customers) {
+        this->tickCustomer(name, customer, peers, now);
+    }
+}
+
+auto BudgetKeeper::tickCustomer(const base::CustomerName &name, const Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void
+{
+    admission::setOwnPart(this->lending, name, this->ownPart(name, customer, now), customer.shared, customer.hold);
+    admission::recordDemand(this->lending, name, demandOf(this->gate.takeDemand(name)));
+    const auto giveBack = admission::nextReturn(this->lending, name, this->gate.runningOf(name), now);
+    this->putInForce(name, now);
+    if (giveBack) {
+        this->sender.giveBack(giveBack->lender, giveBack->giveBack);
+    }
+    this->ask(name, peers, now);
+}
+
+auto BudgetKeeper::ownPart(const base::CustomerName &name, const Customer &customer, absl::Time now) const -> admission::OwnPart
+{
+    const auto rate = membership::partInForce(this->roster, customer.shared.rate, name.get(), absl::ZeroDuration(), now);
+    const auto burst = membership::partInForce(this->roster, customer.shared.burst, name.get(), absl::ZeroDuration(), now);
+    const auto concurrency = membership::partInForce(this->roster, customer.shared.concurrency, name.get(), customer.hold, now);
+    return {{rate.units, burst.units, concurrency.units}, std::max({rate.until, burst.until, concurrency.until})};
+}
+
+auto BudgetKeeper::putInForce(const base::CustomerName &customer, absl::Time now) -> void
+{
+    this->gate.setBudget(customer, admission::scheduleOf(this->lending, customer, now));
+}
+
+auto BudgetKeeper::ask(const base::CustomerName &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void
+{
+    const auto seed = this->identity.incarnation.get() + this->ticks;
+    while (const auto next = admission::nextAsk(this->lending, customer, peers, seed, now)) {
+        this->sender.ask(next->lender, next->ask);
+    }
+}
+
+auto BudgetKeeper::onAsk(const admission::BudgetAsk &ask, absl::Time now) -> void
+{
+    const auto known = this->customers.find(ask.customer);
+    if (known == this->customers.end()) {
+        return;
+    }
+    const auto grant = admission::answerAsk(this->lending, ask, this->gate.runningOf(ask.customer), now);
+    this->putInForce(ask.customer, now);
+    this->sender.grant(ask.borrower, grant);
+}
+
+auto BudgetKeeper::onGrant(const admission::BudgetGrant &grant, absl::Time now) -> void
+{
+    if (this->customers.contains(grant.customer) && admission::acceptGrant(this->lending, grant, now)) {
+        this->putInForce(grant.customer, now);
+    }
+}
+
+auto BudgetKeeper::onReturn(const admission::BudgetReturn &giveBack, absl::Time now) -> void
+{
+    if (this->customers.contains(giveBack.customer) && admission::acceptReturn(this->lending, giveBack, now)) {
+        this->putInForce(giveBack.customer, now);
+    }
+}
+
+auto BudgetKeeper::budgetOf(const base::CustomerName &customer, absl::Time now) const -> admission::Budget
+{
+    return this->customers.contains(customer) ? admission::budgetAt(admission::scheduleOf(this->lending, customer, now), now) : admission::Budget();
+}
+
+auto BudgetKeeper::ownPartOf(const base::CustomerName &customer) const -> admission::Budget
+{
+    const auto known = this->lending.customers.find(customer);
+    return known == this->lending.customers.end() ? admission::Budget() : known->second.own.budget;
+}
+
+auto BudgetKeeper::longestHold() const noexcept -> absl::Duration
+{
+    auto longest = absl::ZeroDuration();
+    for (const auto &[name, customer] : this->customers) {
+        longest = std::max(longest, customer.hold);
+    }
+    return longest;
+}
+
+} // namespace tamarackspan::daemon
--- a/packages/wire/include/tamarackspan/wire/inner_generated.h
+++ b/packages/wire/include/tamarackspan/wire/inner_generated.h
@@ -52,9 +52,17 @@
 struct ExecuteReplyBuilder;
 struct ExecuteReplyT;
 
-struct ConfigEntry;
-struct ConfigEntryBuilder;
-struct ConfigEntryT;
+struct ConfigDigest;
+struct ConfigDigestBuilder;
+struct ConfigDigestT;
+
+struct ConfigListRequest;
+struct ConfigListRequestBuilder;
+struct ConfigListRequestT;
+
+struct ListedVersions;
+struct ListedVersionsBuilder;
+struct ListedVersionsT;
 
 struct ConfigList;
 struct ConfigListBuilder;
@@ -118,8 +126,12 @@
 bool operator!=(const ExecuteLeafT &lhs, const ExecuteLeafT &rhs);
 bool operator==(const ExecuteReplyT &lhs, const ExecuteReplyT &rhs);
 bool operator!=(const ExecuteReplyT &lhs, const ExecuteReplyT &rhs);
-bool operator==(const ConfigEntryT &lhs, const ConfigEntryT &rhs);
-bool operator!=(const ConfigEntryT &lhs, const ConfigEntryT &rhs);
+bool operator==(const ConfigDigestT &lhs, const ConfigDigestT &rhs);
+bool operator!=(const ConfigDigestT &lhs, const ConfigDigestT &rhs);
+bool operator==(const ConfigListRequestT &lhs, const ConfigListRequestT &rhs);
+bool operator!=(const ConfigListRequestT &lhs, const ConfigListRequestT &rhs);
+bool operator==(const ListedVersionsT &lhs, const ListedVersionsT &rhs);
+bool operator!=(const ListedVersionsT &lhs, const ListedVersionsT &rhs);
 bool operator==(const ConfigListT &lhs, const ConfigListT &rhs);
 bool operator!=(const ConfigListT &lhs, const ConfigListT &rhs);
 bool operator==(const ConfigFetchT &lhs, const ConfigFetchT &rhs);
@@ -264,18 +276,20 @@
   ExecuteForward = 6,
   ExecuteLeaf = 7,
   ExecuteReply = 8,
-  ConfigList = 9,
-  ConfigFetch = 10,
-  ConfigDocuments = 11,
-  BudgetAsk = 12,
-  BudgetGrant = 13,
-  BudgetReturn = 14,
-  CostReport = 15,
+  ConfigDigest = 9,
+  ConfigListRequest = 10,
+  ConfigList = 11,
+  ConfigFetch = 12,
+  ConfigDocuments = 13,
+  BudgetAsk = 14,
+  BudgetGrant = 15,
+  BudgetReturn = 16,
+  CostReport = 17,
   MIN = NONE,
   MAX = CostReport
 };
 
-inline const Body (&EnumValuesBody())[16] {
+inline const Body (&EnumValuesBody())[18] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -286,6 +300,8 @@
     Body::ExecuteForward,
     Body::ExecuteLeaf,
     Body::ExecuteReply,
+    Body::ConfigDigest,
+    Body::ConfigListRequest,
     Body::ConfigList,
     Body::ConfigFetch,
     Body::ConfigDocuments,
@@ -298,7 +314,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[17] = {
+  static const char * const names[19] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -308,6 +324,8 @@
     "ExecuteForward",
     "ExecuteLeaf",
     "ExecuteReply",
+    "ConfigDigest",
+    "ConfigListRequest",
     "ConfigList",
     "ConfigFetch",
     "ConfigDocuments",
@@ -362,6 +380,14 @@
   static const Body enum_value = Body::ExecuteReply;
 };
 
+template<> struct BodyTraits<tamarackspan::wire::ConfigDigest> {
+  static const Body enum_value = Body::ConfigDigest;
+};
+
+template<> struct BodyTraits<tamarackspan::wire::ConfigListRequest> {
+  static const Body enum_value = Body::ConfigListRequest;
+};
+
 template<> struct BodyTraits<tamarackspan::wire::ConfigList> {
   static const Body enum_value = Body::ConfigList;
 };
@@ -426,6 +452,14 @@
   static const Body enum_value = Body::ExecuteReply;
 };
 
+template<> struct BodyUnionTraits<tamarackspan::wire::ConfigDigestT> {
+  static const Body enum_value = Body::ConfigDigest;
+};
+
+template<> struct BodyUnionTraits<tamarackspan::wire::ConfigListRequestT> {
+  static const Body enum_value = Body::ConfigListRequest;
+};
+
 template<> struct BodyUnionTraits<tamarackspan::wire::ConfigListT> {
   static const Body enum_value = Body::ConfigList;
 };
@@ -548,6 +582,22 @@
     return type == Body::ExecuteReply ?
       reinterpret_cast<const tamarackspan::wire::ExecuteReplyT *>(value) : nullptr;
   }
+  tamarackspan::wire::ConfigDigestT *AsConfigDigest() {
+    return type == Body::ConfigDigest ?
+      reinterpret_cast<tamarackspan::wire::ConfigDigestT *>(value) : nullptr;
+  }
+  const tamarackspan::wire::ConfigDigestT *AsConfigDigest() const {
+    return type == Body::ConfigDigest ?
+      reinterpret_cast<const tamarackspan::wire::ConfigDigestT *>(value) : nullptr;
+  }
+  tamarackspan::wire::ConfigListRequestT *AsConfigListRequest() {
+    return type == Body::ConfigListRequest ?
+      reinterpret_cast<tamarackspan::wire::ConfigListRequestT *>(value) : nullptr;
+  }
+  const tamarackspan::wire::ConfigListRequestT *AsConfigListRequest() const {
+    return type == Body::ConfigListRequest ?
+      reinterpret_cast<const tamarackspan::wire::ConfigListRequestT *>(value) : nullptr;
+  }
   tamarackspan::wire::ConfigListT *AsConfigList() {
     return type == Body::ConfigList ?
       reinterpret_cast<tamarackspan::wire::ConfigListT *>(value) : nullptr;
@@ -645,6 +695,14 @@
       return *(reinterpret_cast<const tamarackspan::wire::ExecuteReplyT *>(lhs.value)) ==
              *(reinterpret_cast<const tamarackspan::wire::ExecuteReplyT *>(rhs.value));
     }
+    case Body::ConfigDigest: {
+      return *(reinterpret_cast<const tamarackspan::wire::ConfigDigestT *>(lhs.value)) ==
+             *(reinterpret_cast<const tamarackspan::wire::ConfigDigestT *>(rhs.value));
+    }
+    case Body::ConfigListRequest: {
+      return *(reinterpret_cast<const tamarackspan::wire::ConfigListRequestT *>(lhs.value)) ==
+             *(reinterpret_cast<const tamarackspan::wire::ConfigListRequestT *>(rhs.value));
+    }
     case Body::ConfigList: {
       return *(reinterpret_cast<const tamarackspan::wire::ConfigListT *>(lhs.value)) ==
              *(reinterpret_cast<const tamarackspan::wire::ConfigListT *>(rhs.value));
@@ -825,9 +883,6 @@
   typedef Heartbeat TableType;
   uint64_t number = 0;
   bool draining = false;
-  uint64_t configDigest = 0;
-  uint64_t hostListRevision = 0;
-  uint64_t hostListAgeMicros = 0;
 };
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -836,10 +891,7 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
-    VT_DRAINING = 6,
-    VT_CONFIGDIGEST = 8,
-    VT_HOSTLISTREVISION = 10,
-    VT_HOSTLISTAGEMICROS = 12
+    VT_DRAINING = 6
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -847,22 +899,10 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
-  uint64_t configDigest() const {
-    return GetField<uint64_t>(VT_CONFIGDIGEST, 0);
-  }
-  uint64_t hostListRevision() const {
-    return GetField<uint64_t>(VT_HOSTLISTREVISION, 0);
-  }
-  uint64_t hostListAgeMicros() const {
-    return GetField<uint64_t>(VT_HOSTLISTAGEMICROS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIGDIGEST, 8) &&
-           VerifyField<uint64_t>(verifier, VT_HOSTLISTREVISION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_HOSTLISTAGEMICROS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -880,15 +920,6 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
-  void add_configDigest(uint64_t configDigest) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_CONFIGDIGEST, configDigest, 0);
-  }
-  void add_hostListRevision(uint64_t hostListRevision) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_HOSTLISTREVISION, hostListRevision, 0);
-  }
-  void add_hostListAgeMicros(uint64_t hostListAgeMicros) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_HOSTLISTAGEMICROS, hostListAgeMicros, 0);
-  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -903,14 +934,8 @@
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
-    bool draining = false,
-    uint64_t configDigest = 0,
-    uint64_t hostListRevision = 0,
-    uint64_t hostListAgeMicros = 0) {
+    bool draining = false) {
   HeartbeatBuilder builder_(_fbb);
-  builder_.add_hostListAgeMicros(hostListAgeMicros);
-  builder_.add_hostListRevision(hostListRevision);
-  builder_.add_configDigest(configDigest);
   builder_.add_number(number);
   builder_.add_draining(draining);
   return builder_.Finish();
@@ -2032,90 +2057,385 @@
 
 flatbuffers::Offset<ExecuteReply> CreateExecuteReply(flatbuffers::FlatBufferBuilder &_fbb, const ExecuteReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct ConfigEntryT : public flatbuffers::NativeTable {
-  typedef ConfigEntry TableType;
+struct ConfigDigestT : public flatbuffers::NativeTable {
+  typedef ConfigDigest TableType;
+  uint64_t number = 0;
+  bool isAnswer = false;
+  std::string dataCentre{};
+  uint64_t contractsDigest = 0;
+  uint64_t localDigest = 0;
+  uint64_t platformRevision = 0;
+  std::vector<uint64_t> confirmedAgeMicros{};
+  uint64_t hostListRevision = 0;
+  uint64_t incarnation = 0;
+};
+
+struct ConfigDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigDigestT NativeTableType;
+  typedef ConfigDigestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ISANSWER = 6,
+    VT_DATACENTRE = 8,
+    VT_CONTRACTSDIGEST = 10,
+    VT_LOCALDIGEST = 12,
+    VT_PLATFORMREVISION = 14,
+    VT_CONFIRMEDAGEMICROS = 16,
+    VT_HOSTLISTREVISION = 18,
+    VT_INCARNATION = 20
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool isAnswer() const {
+    return GetField<uint8_t>(VT_ISANSWER, 0) != 0;
+  }
+  const flatbuffers::String *dataCentre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATACENTRE);
+  }
+  uint64_t contractsDigest() const {
+    return GetField<uint64_t>(VT_CONTRACTSDIGEST, 0);
+  }
+  uint64_t localDigest() const {
+    return GetField<uint64_t>(VT_LOCALDIGEST, 0);
+  }
+  uint64_t platformRevision() const {
+    return GetField<uint64_t>(VT_PLATFORMREVISION, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *confirmedAgeMicros() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CONFIRMEDAGEMICROS);
+  }
+  uint64_t hostListRevision() const {
+    return GetField<uint64_t>(VT_HOSTLISTREVISION, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ISANSWER, 1) &&
+           VerifyOffset(verifier, VT_DATACENTRE) &&
+           verifier.VerifyString(dataCentre()) &&
+           VerifyField<uint64_t>(verifier, VT_CONTRACTSDIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOCALDIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PLATFORMREVISION, 8) &&
+           VerifyOffset(verifier, VT_CONFIRMEDAGEMICROS) &&
+           verifier.VerifyVector(confirmedAgeMicros()) &&
+           VerifyField<uint64_t>(verifier, VT_HOSTLISTREVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+  ConfigDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigDigestBuilder {
+  typedef ConfigDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_NUMBER, number, 0);
+  }
+  void add_isAnswer(bool isAnswer) {
+    fbb_.AddElement<uint8_t>(ConfigDigest::VT_ISANSWER, static_cast<uint8_t>(isAnswer), 0);
+  }
+  void add_dataCentre(flatbuffers::Offset<flatbuffers::String> dataCentre) {
+    fbb_.AddOffset(ConfigDigest::VT_DATACENTRE, dataCentre);
+  }
+  void add_contractsDigest(uint64_t contractsDigest) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_CONTRACTSDIGEST, contractsDigest, 0);
+  }
+  void add_localDigest(uint64_t localDigest) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_LOCALDIGEST, localDigest, 0);
+  }
+  void add_platformRevision(uint64_t platformRevision) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_PLATFORMREVISION, platformRevision, 0);
+  }
+  void add_confirmedAgeMicros(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> confirmedAgeMicros) {
+    fbb_.AddOffset(ConfigDigest::VT_CONFIRMEDAGEMICROS, confirmedAgeMicros);
+  }
+  void add_hostListRevision(uint64_t hostListRevision) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_HOSTLISTREVISION, hostListRevision, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ConfigDigest::VT_INCARNATION, incarnation, 0);
+  }
+  explicit ConfigDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigDigest> CreateConfigDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool isAnswer = false,
+    flatbuffers::Offset<flatbuffers::String> dataCentre = 0,
+    uint64_t contractsDigest = 0,
+    uint64_t localDigest = 0,
+    uint64_t platformRevision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> confirmedAgeMicros = 0,
+    uint64_t hostListRevision = 0,
+    uint64_t incarnation = 0) {
+  ConfigDigestBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_hostListRevision(hostListRevision);
+  builder_.add_platformRevision(platformRevision);
+  builder_.add_localDigest(localDigest);
+  builder_.add_contractsDigest(contractsDigest);
+  builder_.add_number(number);
+  builder_.add_confirmedAgeMicros(confirmedAgeMicros);
+  builder_.add_dataCentre(dataCentre);
+  builder_.add_isAnswer(isAnswer);
+  return builder_.Finish();
+}
+
+struct ConfigDigest::Traits {
+  using type = ConfigDigest;
+  static auto constexpr Create = CreateConfigDigest;
+};
+
+inline flatbuffers::Offset<ConfigDigest> CreateConfigDigestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool isAnswer = false,
+    const char *dataCentre = nullptr,
+    uint64_t contractsDigest = 0,
+    uint64_t localDigest = 0,
+    uint64_t platformRevision = 0,
+    const std::vector<uint64_t> *confirmedAgeMicros = nullptr,
+    uint64_t hostListRevision = 0,
+    uint64_t incarnation = 0) {
+  auto dataCentre__ = dataCentre ? _fbb.CreateString(dataCentre) : 0;
+  auto confirmedAgeMicros__ = confirmedAgeMicros ? _fbb.CreateVector<uint64_t>(*confirmedAgeMicros) : 0;
+  return tamarackspan::wire::CreateConfigDigest(
+      _fbb,
+      number,
+      isAnswer,
+      dataCentre__,
+      contractsDigest,
+      localDigest,
+      platformRevision,
+      confirmedAgeMicros__,
+      hostListRevision,
+      incarnation);
+}
+
+flatbuffers::Offset<ConfigDigest> CreateConfigDigest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigListRequestT : public flatbuffers::NativeTable {
+  typedef ConfigListRequest TableType;
+  bool contractsOnly = false;
+  std::string after{};
+};
+
+struct ConfigListRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigListRequestT NativeTableType;
+  typedef ConfigListRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTRACTSONLY = 4,
+    VT_AFTER = 6
+  };
+  bool contractsOnly() const {
+    return GetField<uint8_t>(VT_CONTRACTSONLY, 0) != 0;
+  }
+  const flatbuffers::String *after() const {
+    return GetPointer<const flatbuffers::String *>(VT_AFTER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_CONTRACTSONLY, 1) &&
+           VerifyOffset(verifier, VT_AFTER) &&
+           verifier.VerifyString(after()) &&
+           verifier.EndTable();
+  }
+  ConfigListRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigListRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigListRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigListRequestBuilder {
+  typedef ConfigListRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_contractsOnly(bool contractsOnly) {
+    fbb_.AddElement<uint8_t>(ConfigListRequest::VT_CONTRACTSONLY, static_cast<uint8_t>(contractsOnly), 0);
+  }
+  void add_after(flatbuffers::Offset<flatbuffers::String> after) {
+    fbb_.AddOffset(ConfigListRequest::VT_AFTER, after);
+  }
+  explicit ConfigListRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigListRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigListRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigListRequest> CreateConfigListRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool contractsOnly = false,
+    flatbuffers::Offset<flatbuffers::String> after = 0) {
+  ConfigListRequestBuilder builder_(_fbb);
+  builder_.add_after(after);
+  builder_.add_contractsOnly(contractsOnly);
+  return builder_.Finish();
+}
+
+struct ConfigListRequest::Traits {
+  using type = ConfigListRequest;
+  static auto constexpr Create = CreateConfigListRequest;
+};
+
+inline flatbuffers::Offset<ConfigListRequest> CreateConfigListRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool contractsOnly = false,
+    const char *after = nullptr) {
+  auto after__ = after ? _fbb.CreateString(after) : 0;
+  return tamarackspan::wire::CreateConfigListRequest(
+      _fbb,
+      contractsOnly,
+      after__);
+}
+
+flatbuffers::Offset<ConfigListRequest> CreateConfigListRequest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListedVersionsT : public flatbuffers::NativeTable {
+  typedef ListedVersions TableType;
   std::string key{};
-  uint64_t revision = 0;
+  uint64_t acceptedRevision = 0;
+  uint64_t acceptedDigest = 0;
+  uint64_t rejectedRevision = 0;
+  uint64_t rejectedDigest = 0;
 };
 
-struct ConfigEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ConfigEntryT NativeTableType;
-  typedef ConfigEntryBuilder Builder;
+struct ListedVersions FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListedVersionsT NativeTableType;
+  typedef ListedVersionsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
-    VT_REVISION = 6
+    VT_ACCEPTEDREVISION = 6,
+    VT_ACCEPTEDDIGEST = 8,
+    VT_REJECTEDREVISION = 10,
+    VT_REJECTEDDIGEST = 12
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
-  uint64_t revision() const {
-    return GetField<uint64_t>(VT_REVISION, 0);
+  uint64_t acceptedRevision() const {
+    return GetField<uint64_t>(VT_ACCEPTEDREVISION, 0);
+  }
+  uint64_t acceptedDigest() const {
+    return GetField<uint64_t>(VT_ACCEPTEDDIGEST, 0);
+  }
+  uint64_t rejectedRevision() const {
+    return GetField<uint64_t>(VT_REJECTEDREVISION, 0);
+  }
+  uint64_t rejectedDigest() const {
+    return GetField<uint64_t>(VT_REJECTEDDIGEST, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
-           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACCEPTEDREVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACCEPTEDDIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REJECTEDREVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REJECTEDDIGEST, 8) &&
            verifier.EndTable();
   }
-  ConfigEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ConfigEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ConfigEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  ListedVersionsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListedVersionsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListedVersions> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedVersionsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ConfigEntryBuilder {
-  typedef ConfigEntry Table;
+struct ListedVersionsBuilder {
+  typedef ListedVersions Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(ConfigEntry::VT_KEY, key);
+    fbb_.AddOffset(ListedVersions::VT_KEY, key);
   }
-  void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(ConfigEntry::VT_REVISION, revision, 0);
+  void add_acceptedRevision(uint64_t acceptedRevision) {
+    fbb_.AddElement<uint64_t>(ListedVersions::VT_ACCEPTEDREVISION, acceptedRevision, 0);
+  }
+  void add_acceptedDigest(uint64_t acceptedDigest) {
+    fbb_.AddElement<uint64_t>(ListedVersions::VT_ACCEPTEDDIGEST, acceptedDigest, 0);
+  }
+  void add_rejectedRevision(uint64_t rejectedRevision) {
+    fbb_.AddElement<uint64_t>(ListedVersions::VT_REJECTEDREVISION, rejectedRevision, 0);
+  }
+  void add_rejectedDigest(uint64_t rejectedDigest) {
+    fbb_.AddElement<uint64_t>(ListedVersions::VT_REJECTEDDIGEST, rejectedDigest, 0);
   }
-  explicit ConfigEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit ListedVersionsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ConfigEntry> Finish() {
+  flatbuffers::Offset<ListedVersions> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ConfigEntry>(end);
+    auto o = flatbuffers::Offset<ListedVersions>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ConfigEntry> CreateConfigEntry(
+inline flatbuffers::Offset<ListedVersions> CreateListedVersions(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    uint64_t revision = 0) {
-  ConfigEntryBuilder builder_(_fbb);
-  builder_.add_revision(revision);
+    uint64_t acceptedRevision = 0,
+    uint64_t acceptedDigest = 0,
+    uint64_t rejectedRevision = 0,
+    uint64_t rejectedDigest = 0) {
+  ListedVersionsBuilder builder_(_fbb);
+  builder_.add_rejectedDigest(rejectedDigest);
+  builder_.add_rejectedRevision(rejectedRevision);
+  builder_.add_acceptedDigest(acceptedDigest);
+  builder_.add_acceptedRevision(acceptedRevision);
   builder_.add_key(key);
   return builder_.Finish();
 }
 
-struct ConfigEntry::Traits {
-  using type = ConfigEntry;
-  static auto constexpr Create = CreateConfigEntry;
+struct ListedVersions::Traits {
+  using type = ListedVersions;
+  static auto constexpr Create = CreateListedVersions;
 };
 
-inline flatbuffers::Offset<ConfigEntry> CreateConfigEntryDirect(
+inline flatbuffers::Offset<ListedVersions> CreateListedVersionsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
-    uint64_t revision = 0) {
+    uint64_t acceptedRevision = 0,
+    uint64_t acceptedDigest = 0,
+    uint64_t rejectedRevision = 0,
+    uint64_t rejectedDigest = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
-  return tamarackspan::wire::CreateConfigEntry(
+  return tamarackspan::wire::CreateListedVersions(
       _fbb,
       key__,
-      revision);
+      acceptedRevision,
+      acceptedDigest,
+      rejectedRevision,
+      rejectedDigest);
 }
 
-flatbuffers::Offset<ConfigEntry> CreateConfigEntry(flatbuffers::FlatBufferBuilder &_fbb, const ConfigEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<ListedVersions> CreateListedVersions(flatbuffers::FlatBufferBuilder &_fbb, const ListedVersionsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct ConfigListT : public flatbuffers::NativeTable {
   typedef ConfigList TableType;
-  std::vector<std::unique_ptr<tamarackspan::wire::ConfigEntryT>> entries{};
+  std::vector<std::unique_ptr<tamarackspan::wire::ListedVersionsT>> documents{};
+  std::string next{};
   ConfigListT() = default;
   ConfigListT(const ConfigListT &o);
   ConfigListT(ConfigListT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2127,16 +2447,22 @@
   typedef ConfigListBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_DOCUMENTS = 4,
+    VT_NEXT = 6
   };
-  const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>> *entries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>> *>(VT_ENTRIES);
+  const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>> *documents() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>> *>(VT_DOCUMENTS);
+  }
+  const flatbuffers::String *next() const {
+    return GetPointer<const flatbuffers::String *>(VT_NEXT);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ENTRIES) &&
-           verifier.VerifyVector(entries()) &&
-           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_DOCUMENTS) &&
+           verifier.VerifyVector(documents()) &&
+           verifier.VerifyVectorOfTables(documents()) &&
+           VerifyOffset(verifier, VT_NEXT) &&
+           verifier.VerifyString(next()) &&
            verifier.EndTable();
   }
   ConfigListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2148,8 +2474,11 @@
   typedef ConfigList Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>>> entries) {
-    fbb_.AddOffset(ConfigList::VT_ENTRIES, entries);
+  void add_documents(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>>> documents) {
+    fbb_.AddOffset(ConfigList::VT_DOCUMENTS, documents);
+  }
+  void add_next(flatbuffers::Offset<flatbuffers::String> next) {
+    fbb_.AddOffset(ConfigList::VT_NEXT, next);
   }
   explicit ConfigListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2164,9 +2493,11 @@
 
 inline flatbuffers::Offset<ConfigList> CreateConfigList(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>>> documents = 0,
+    flatbuffers::Offset<flatbuffers::String> next = 0) {
   ConfigListBuilder builder_(_fbb);
-  builder_.add_entries(entries);
+  builder_.add_next(next);
+  builder_.add_documents(documents);
   return builder_.Finish();
 }
 
@@ -2177,11 +2508,14 @@
 
 inline flatbuffers::Offset<ConfigList> CreateConfigListDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>> *entries = nullptr) {
-  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>>(*entries) : 0;
+    const std::vector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>> *documents = nullptr,
+    const char *next = nullptr) {
+  auto documents__ = documents ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>>(*documents) : 0;
+  auto next__ = next ? _fbb.CreateString(next) : 0;
   return tamarackspan::wire::CreateConfigList(
       _fbb,
-      entries__);
+      documents__,
+      next__);
 }
 
 flatbuffers::Offset<ConfigList> CreateConfigList(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3237,6 +3571,12 @@
   const tamarackspan::wire::ExecuteReply *body_as_ExecuteReply() const {
     return body_type() == tamarackspan::wire::Body::ExecuteReply ? static_cast<const tamarackspan::wire::ExecuteReply *>(body()) : nullptr;
   }
+  const tamarackspan::wire::ConfigDigest *body_as_ConfigDigest() const {
+    return body_type() == tamarackspan::wire::Body::ConfigDigest ? static_cast<const tamarackspan::wire::ConfigDigest *>(body()) : nullptr;
+  }
+  const tamarackspan::wire::ConfigListRequest *body_as_ConfigListRequest() const {
+    return body_type() == tamarackspan::wire::Body::ConfigListRequest ? static_cast<const tamarackspan::wire::ConfigListRequest *>(body()) : nullptr;
+  }
   const tamarackspan::wire::ConfigList *body_as_ConfigList() const {
     return body_type() == tamarackspan::wire::Body::ConfigList ? static_cast<const tamarackspan::wire::ConfigList *>(body()) : nullptr;
   }
@@ -3302,6 +3642,14 @@
   return body_as_ExecuteReply();
 }
 
+template<> inline const tamarackspan::wire::ConfigDigest *Message::body_as<tamarackspan::wire::ConfigDigest>() const {
+  return body_as_ConfigDigest();
+}
+
+template<> inline const tamarackspan::wire::ConfigListRequest *Message::body_as<tamarackspan::wire::ConfigListRequest>() const {
+  return body_as_ConfigListRequest();
+}
+
 template<> inline const tamarackspan::wire::ConfigList *Message::body_as<tamarackspan::wire::ConfigList>() const {
   return body_as_ConfigList();
 }
@@ -3429,10 +3777,7 @@
 inline bool operator==(const HeartbeatT &lhs, const HeartbeatT &rhs) {
   return
       (lhs.number == rhs.number) &&
-      (lhs.draining == rhs.draining) &&
-      (lhs.configDigest == rhs.configDigest) &&
-      (lhs.hostListRevision == rhs.hostListRevision) &&
-      (lhs.hostListAgeMicros == rhs.hostListAgeMicros);
+      (lhs.draining == rhs.draining);
 }
 
 inline bool operator!=(const HeartbeatT &lhs, const HeartbeatT &rhs) {
@@ -3451,9 +3796,6 @@
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
   { auto _e = draining(); _o->draining = _e; }
-  { auto _e = configDigest(); _o->configDigest = _e; }
-  { auto _e = hostListRevision(); _o->hostListRevision = _e; }
-  { auto _e = hostListAgeMicros(); _o->hostListAgeMicros = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3466,16 +3808,10 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
   auto _draining = _o->draining;
-  auto _configDigest = _o->configDigest;
-  auto _hostListRevision = _o->hostListRevision;
-  auto _hostListAgeMicros = _o->hostListAgeMicros;
   return tamarackspan::wire::CreateHeartbeat(
       _fbb,
       _number,
-      _draining,
-      _configDigest,
-      _hostListRevision,
-      _hostListAgeMicros);
+      _draining);
 }
 
 
@@ -3950,50 +4286,173 @@
 }
 
 
-inline bool operator==(const ConfigEntryT &lhs, const ConfigEntryT &rhs) {
+inline bool operator==(const ConfigDigestT &lhs, const ConfigDigestT &rhs) {
+  return
+      (lhs.number == rhs.number) &&
+      (lhs.isAnswer == rhs.isAnswer) &&
+      (lhs.dataCentre == rhs.dataCentre) &&
+      (lhs.contractsDigest == rhs.contractsDigest) &&
+      (lhs.localDigest == rhs.localDigest) &&
+      (lhs.platformRevision == rhs.platformRevision) &&
+      (lhs.confirmedAgeMicros == rhs.confirmedAgeMicros) &&
+      (lhs.hostListRevision == rhs.hostListRevision) &&
+      (lhs.incarnation == rhs.incarnation);
+}
+
+inline bool operator!=(const ConfigDigestT &lhs, const ConfigDigestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ConfigDigestT *ConfigDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigDigestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigDigest::UnPackTo(ConfigDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = isAnswer(); _o->isAnswer = _e; }
+  { auto _e = dataCentre(); if (_e) _o->dataCentre = _e->str(); }
+  { auto _e = contractsDigest(); _o->contractsDigest = _e; }
+  { auto _e = localDigest(); _o->localDigest = _e; }
+  { auto _e = platformRevision(); _o->platformRevision = _e; }
+  { auto _e = confirmedAgeMicros(); if (_e) { _o->confirmedAgeMicros.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->confirmedAgeMicros[_i] = _e->Get(_i); } } }
+  { auto _e = hostListRevision(); _o->hostListRevision = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+}
+
+inline flatbuffers::Offset<ConfigDigest> ConfigDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigDigest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigDigest> CreateConfigDigest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _isAnswer = _o->isAnswer;
+  auto _dataCentre = _o->dataCentre.empty() ? 0 : _fbb.CreateString(_o->dataCentre);
+  auto _contractsDigest = _o->contractsDigest;
+  auto _localDigest = _o->localDigest;
+  auto _platformRevision = _o->platformRevision;
+  auto _confirmedAgeMicros = _o->confirmedAgeMicros.size() ? _fbb.CreateVector(_o->confirmedAgeMicros) : 0;
+  auto _hostListRevision = _o->hostListRevision;
+  auto _incarnation = _o->incarnation;
+  return tamarackspan::wire::CreateConfigDigest(
+      _fbb,
+      _number,
+      _isAnswer,
+      _dataCentre,
+      _contractsDigest,
+      _localDigest,
+      _platformRevision,
+      _confirmedAgeMicros,
+      _hostListRevision,
+      _incarnation);
+}
+
+
+inline bool operator==(const ConfigListRequestT &lhs, const ConfigListRequestT &rhs) {
+  return
+      (lhs.contractsOnly == rhs.contractsOnly) &&
+      (lhs.after == rhs.after);
+}
+
+inline bool operator!=(const ConfigListRequestT &lhs, const ConfigListRequestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ConfigListRequestT *ConfigListRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigListRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigListRequest::UnPackTo(ConfigListRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = contractsOnly(); _o->contractsOnly = _e; }
+  { auto _e = after(); if (_e) _o->after = _e->str(); }
+}
+
+inline flatbuffers::Offset<ConfigListRequest> ConfigListRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigListRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigListRequest> CreateConfigListRequest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigListRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _contractsOnly = _o->contractsOnly;
+  auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
+  return tamarackspan::wire::CreateConfigListRequest(
+      _fbb,
+      _contractsOnly,
+      _after);
+}
+
+
+inline bool operator==(const ListedVersionsT &lhs, const ListedVersionsT &rhs) {
   return
       (lhs.key == rhs.key) &&
-      (lhs.revision == rhs.revision);
+      (lhs.acceptedRevision == rhs.acceptedRevision) &&
+      (lhs.acceptedDigest == rhs.acceptedDigest) &&
+      (lhs.rejectedRevision == rhs.rejectedRevision) &&
+      (lhs.rejectedDigest == rhs.rejectedDigest);
 }
 
-inline bool operator!=(const ConfigEntryT &lhs, const ConfigEntryT &rhs) {
+inline bool operator!=(const ListedVersionsT &lhs, const ListedVersionsT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline ConfigEntryT *ConfigEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ConfigEntryT>();
+inline ListedVersionsT *ListedVersions::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ListedVersionsT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ConfigEntry::UnPackTo(ConfigEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ListedVersions::UnPackTo(ListedVersionsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = key(); if (_e) _o->key = _e->str(); }
-  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = acceptedRevision(); _o->acceptedRevision = _e; }
+  { auto _e = acceptedDigest(); _o->acceptedDigest = _e; }
+  { auto _e = rejectedRevision(); _o->rejectedRevision = _e; }
+  { auto _e = rejectedDigest(); _o->rejectedDigest = _e; }
 }
 
-inline flatbuffers::Offset<ConfigEntry> ConfigEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateConfigEntry(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ListedVersions> ListedVersions::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedVersionsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListedVersions(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ConfigEntry> CreateConfigEntry(flatbuffers::FlatBufferBuilder &_fbb, const ConfigEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ListedVersions> CreateListedVersions(flatbuffers::FlatBufferBuilder &_fbb, const ListedVersionsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListedVersionsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
-  auto _revision = _o->revision;
-  return tamarackspan::wire::CreateConfigEntry(
+  auto _acceptedRevision = _o->acceptedRevision;
+  auto _acceptedDigest = _o->acceptedDigest;
+  auto _rejectedRevision = _o->rejectedRevision;
+  auto _rejectedDigest = _o->rejectedDigest;
+  return tamarackspan::wire::CreateListedVersions(
       _fbb,
       _key,
-      _revision);
+      _acceptedRevision,
+      _acceptedDigest,
+      _rejectedRevision,
+      _rejectedDigest);
 }
 
 
 inline bool operator==(const ConfigListT &lhs, const ConfigListT &rhs) {
   return
-      (lhs.entries.size() == rhs.entries.size() && std::equal(lhs.entries.cbegin(), lhs.entries.cend(), rhs.entries.cbegin(), [](std::unique_ptr<tamarackspan::wire::ConfigEntryT> const &a, std::unique_ptr<tamarackspan::wire::ConfigEntryT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.documents.size() == rhs.documents.size() && std::equal(lhs.documents.cbegin(), lhs.documents.cend(), rhs.documents.cbegin(), [](std::unique_ptr<tamarackspan::wire::ListedVersionsT> const &a, std::unique_ptr<tamarackspan::wire::ListedVersionsT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.next == rhs.next);
 }
 
 inline bool operator!=(const ConfigListT &lhs, const ConfigListT &rhs) {
@@ -4001,13 +4460,15 @@
 }
 
 
-inline ConfigListT::ConfigListT(const ConfigListT &o) {
-  entries.reserve(o.entries.size());
-  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new tamarackspan::wire::ConfigEntryT(*entries_) : nullptr); }
+inline ConfigListT::ConfigListT(const ConfigListT &o)
+      : next(o.next) {
+  documents.reserve(o.documents.size());
+  for (const auto &documents_ : o.documents) { documents.emplace_back((documents_) ? new tamarackspan::wire::ListedVersionsT(*documents_) : nullptr); }
 }
 
 inline ConfigListT &ConfigListT::operator=(ConfigListT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(entries, o.entries);
+  std::swap(documents, o.documents);
+  std::swap(next, o.next);
   return *this;
 }
 
@@ -4020,7 +4481,8 @@
 inline void ConfigList::UnPackTo(ConfigListT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<tamarackspan::wire::ConfigEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = documents(); if (_e) { _o->documents.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->documents[_i] = std::unique_ptr<tamarackspan::wire::ListedVersionsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = next(); if (_e) _o->next = _e->str(); }
 }
 
 inline flatbuffers::Offset<ConfigList> ConfigList::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigListT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4031,10 +4493,12 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigListT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::ConfigEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateConfigEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _documents = _o->documents.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::ListedVersions>> (_o->documents.size(), [](size_t i, _VectorArgs *__va) { return CreateListedVersions(*__va->__fbb, __va->__o->documents[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _next = _o->next.empty() ? 0 : _fbb.CreateString(_o->next);
   return tamarackspan::wire::CreateConfigList(
       _fbb,
-      _entries);
+      _documents,
+      _next);
 }
 
 
@@ -4631,6 +5095,14 @@
       auto ptr = reinterpret_cast<const tamarackspan::wire::ExecuteReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ConfigDigest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigDigest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ConfigListRequest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigListRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::ConfigList: {
       auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigList *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4710,6 +5182,14 @@
       auto ptr = reinterpret_cast<const tamarackspan::wire::ExecuteReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ConfigDigest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigDigest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ConfigListRequest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigListRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::ConfigList: {
       auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigList *>(obj);
       return ptr->UnPack(resolver);
@@ -4777,6 +5257,14 @@
       auto ptr = reinterpret_cast<const tamarackspan::wire::ExecuteReplyT *>(value);
       return CreateExecuteReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ConfigDigest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigDigestT *>(value);
+      return CreateConfigDigest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ConfigListRequest: {
+      auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigListRequestT *>(value);
+      return CreateConfigListRequest(_fbb, ptr, _rehasher).Union();
+    }
     case Body::ConfigList: {
       auto ptr = reinterpret_cast<const tamarackspan::wire::ConfigListT *>(value);
       return CreateConfigList(_fbb, ptr, _rehasher).Union();
@@ -4843,6 +5331,14 @@
       value = new tamarackspan::wire::ExecuteReplyT(*reinterpret_cast<tamarackspan::wire::ExecuteReplyT *>(u.value));
       break;
     }
+    case Body::ConfigDigest: {
+      value = new tamarackspan::wire::ConfigDigestT(*reinterpret_cast<tamarackspan::wire::ConfigDigestT *>(u.value));
+      break;
+    }
+    case Body::ConfigListRequest: {
+      value = new tamarackspan::wire::ConfigListRequestT(*reinterpret_cast<tamarackspan::wire::ConfigListRequestT *>(u.value));
+      break;
+    }
     case Body::ConfigList: {
       value = new tamarackspan::wire::ConfigListT(*reinterpret_cast<tamarackspan::wire::ConfigListT *>(u.value));
       break;
@@ -4918,6 +5414,16 @@
       delete ptr;
       break;
     }
+    case Body::ConfigDigest: {
+      auto ptr = reinterpret_cast<tamarackspan::wire::ConfigDigestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ConfigListRequest: {
+      auto ptr = reinterpret_cast<tamarackspan::wire::ConfigListRequestT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::ConfigList: {
       auto ptr = reinterpret_cast<tamarackspan::wire::ConfigListT *>(value);
       delete ptr;
