Plan the reading of the platform within a budget, with peers for the rest

Cause: every host reading every document would grow with the fleet. Two watchers a prefix and data centre read; the others compare digests with peers and fall back when they hear nothing or nobody confirms a prefix. Hosts say how sure they are of their configuration.

A fault found on the way: when both watchers died and the others still took them for alive, the host that fell back listed the change but left its value to peers for 10 s to 30 s (isInForceWithoutWatchers: 'Actual: false, Expected: true'). Values that nobody watches are now fetched within 1 s.

--- /dev/null
+++ b/packages/configuration/src/read_budget.cpp
@@ -0,0 +1,37 @@
+#include "tamarackspan/configuration/read_budget.h"
+
+#include "tamarackspan/configuration/exchange.h"
+
+#include <algorithm>
+
+namespace tamarackspan::configuration {
+
+auto readRate(std::size_t hosts, std::size_t watchersPerPrefix, std::size_t watchedPrefixes) noexcept -> double
+{
+    const auto watchers = std::min(hosts, watchersPerPrefix) * prefixCount;
+    if (watchers == 0) {
+        return baseReadsPerSecond;
+    }
+    return baseReadsPerSecond + pooledReadsPerSecond * static_cast<double>(hosts * watchedPrefixes) / static_cast<double>(watchers);
+}
+
+auto makeReadBudget(const ReadBudgetLimits &limits, absl::Time now) -> ReadBudget
+{
+    return {limits, limits.burst, now};
+}
+
+auto takeRead(ReadBudget &budget, absl::Time now) -> bool
+{
+    if (now > budget.countedAt) {
+        const auto earned = absl::ToDoubleSeconds(now - budget.countedAt) * budget.limits.perSecond;
+        budget.left = std::min(budget.limits.burst, budget.left + earned);
+        budget.countedAt = now;
+    }
+    if (budget.left < 1) {
+        return false;
+    }
+    budget.left -= 1;
+    return true;
+}
+
+} // namespace tamarackspan::configuration
--- /dev/null
+++ b/packages/configuration/src/read_plan.cpp
@@ -0,0 +1,394 @@
+#include "tamarackspan/configuration/read_plan.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace tamarackspan::configuration {
+
+namespace {
+
+constexpr auto maxBackoffDoublings = std::uint32_t{16};
+constexpr auto half = 0.5;
+constexpr auto third = 1.0 / 3;
+
+auto jittered(base::Random &random, absl::Duration whole, double least) -> absl::Duration
+{
+    return whole * (least + (1 - least) * random.unit());
+}
+
+auto backoffAfter(ReadPlan &plan, std::uint32_t failures) -> absl::Duration
+{
+    const auto doublings = std::min(failures - 1, maxBackoffDoublings);
+    const auto whole = std::min(plan.settings.backoffMost, plan.settings.backoff * static_cast<double>(1U << doublings));
+    return jittered(plan.random, whole, half);
+}
+
+auto findPrefix(ReadPlan &plan, const std::string &prefix) -> PrefixReading *
+{
+    const auto place = std::find_if(plan.prefixes.begin(), plan.prefixes.end(), [&prefix](const PrefixReading &reading) {
+        return reading.prefix == prefix;
+    });
+    return place == plan.prefixes.end() ? nullptr : &*place;
+}
+
+auto peersSilent(const ReadPlan &plan, absl::Time now) -> bool
+{
+    return now - plan.peerHeardAt.value_or(plan.startedAt) >= plan.settings.peerSilence;
+}
+
+/// True if no host seems to watch the prefix.
+auto isUnwatched(const ReadPlan &plan, const PrefixReading &reading, absl::Time now) -> bool
+{
+    const auto whole = plan.settings.wait + plan.settings.callTimeout + plan.unwatchedOffset;
+    return now - reading.confirmedAt.value_or(plan.startedAt) >= whole;
+}
+
+auto failPrefix(ReadPlan &plan, PrefixReading &reading, absl::Time now) -> void
+{
+    reading.calling = false;
+    ++reading.failures;
+    reading.notBefore = now + backoffAfter(plan, reading.failures);
+}
+
+auto failValue(ReadPlan &plan, PendingValue &value, absl::Time now) -> void
+{
+    value.calling = false;
+    ++value.failures;
+    value.notBefore = now + backoffAfter(plan, value.failures);
+}
+
+auto failOverdue(ReadPlan &plan, absl::Time now) -> void
+{
+    for (auto &reading : plan.prefixes) {
+        if (reading.calling && now >= reading.callEndsAt) {
+            failPrefix(plan, reading, now);
+        }
+    }
+    for (auto &[key, value] : plan.pending) {
+        if (value.calling && now >= value.callEndsAt) {
+            failValue(plan, value, now);
+        }
+    }
+}
+
+auto holds(const DocumentStore &store, const std::string &key, base::Revision revision) -> bool
+{
+    const auto highest = highestVersion(store, key);
+    return highest && highest->revision >= revision;
+}
+
+/// Drops the values that came in by another way.
+auto dropHeld(ReadPlan &plan, const DocumentStore &store) -> void
+{
+    std::erase_if(plan.pending, [&store](const auto &entry) {
+        return holds(store, entry.first, entry.second.revision);
+    });
+}
+
+auto mayCall(ReadPlan &plan, absl::Time now) -> bool
+{
+    return !plan.settings.keepsBudget || takeRead(plan.budget, now);
+}
+
+auto startList(const ReadPlan &plan, PrefixReading &reading, absl::Time now) -> ListPrefix
+{
+    const auto waits = reading.watched && reading.everListed && !reading.stale;
+    const auto wait = waits ? plan.settings.wait : absl::ZeroDuration();
+    reading.calling = true;
+    reading.callEndsAt = now + wait + plan.settings.callTimeout;
+    reading.knownAtCall = plan.platformRevision;
+    return {reading.prefix, waits ? std::optional(reading.listed) : std::nullopt, wait};
+}
+
+auto planLists(ReadPlan &plan, absl::Time now, std::vector<ReadAction> &actions) -> void
+{
+    for (auto &reading : plan.prefixes) {
+        const auto wanted = reading.watched || !reading.everListed || peersSilent(plan, now) || isUnwatched(plan, reading, now);
+        if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now)) {
+            actions.emplace_back(startList(plan, reading, now));
+        }
+    }
+}
+
+auto planFetches(ReadPlan &plan, absl::Time now, std::vector<ReadAction> &actions) -> void
+{
+    auto running = std::count_if(plan.pending.begin(), plan.pending.end(), [](const auto &entry) {
+        return entry.second.calling;
+    });
+    for (auto &[key, value] : plan.pending) {
+        if (running >= plan.settings.fetchesAtOnce) {
+            return;
+        }
+        const auto due = now >= value.notBefore || (value.failures == 0 && peersSilent(plan, now));
+        if (!value.calling && due && mayCall(plan, now)) {
+            value.calling = true;
+            value.callEndsAt = now + plan.settings.callTimeout;
+            actions.emplace_back(FetchValue{key});
+            ++running;
+        }
+    }
+}
+
+/// How long a value that was just listed is left to come from a peer.
+auto fetchDelay(ReadPlan &plan, const PrefixReading &reading, absl::Time now) -> absl::Duration
+{
+    if (reading.watched) {
+        return absl::ZeroDuration();
+    }
+    if (isUnwatched(plan, reading, now)) {
+        return jittered(plan.random, plan.settings.unwatchedGrace, 0);
+    }
+    return jittered(plan.random, plan.settings.peerGrace, third);
+}
+
+auto addPending(ReadPlan &plan, std::size_t prefix, const ListedKey &listed, absl::Time now) -> void
+{
+    auto &value = plan.pending[listed.key];
+    if (value.revision >= listed.revision) {
+        return;
+    }
+    const auto isNew = value.revision == base::Revision();
+    value.revision = listed.revision;
+    value.prefix = prefix;
+    if (isNew) {
+        value.notBefore = now + fetchDelay(plan, plan.prefixes[prefix], now);
+    }
+}
+
+auto hasPending(const ReadPlan &plan, std::size_t prefix) -> bool
+{
+    return std::any_of(plan.pending.begin(), plan.pending.end(), [prefix](const auto &entry) {
+        return entry.second.prefix == prefix;
+    });
+}
+
+/// The time at which the prefix that was confirmed the longest ago was confirmed.
+auto confirmedAt(const ReadPlan &plan) -> std::optional<absl::Time>
+{
+    auto oldest = std::optional<absl::Time>(absl::InfiniteFuture());
+    for (const auto &reading : plan.prefixes) {
+        if (!reading.confirmedAt) {
+            return std::nullopt;
+        }
+        oldest = std::min(*oldest, *reading.confirmedAt);
+    }
+    return oldest;
+}
+
+auto noteStale(ReadPlan &plan, PrefixReading &reading, absl::Time now) -> void
+{
+    reading.stale = true;
+    ++reading.failures;
+    reading.notBefore = now + backoffAfter(plan, reading.failures);
+}
+
+auto noteFresh(ReadPlan &plan, PrefixReading &reading, base::Revision revision, absl::Time now) -> void
+{
+    reading.stale = false;
+    reading.failures = 0;
+    reading.listed = revision;
+    plan.platformRevision = std::max(plan.platformRevision, revision);
+    reading.notBefore = reading.watched ? now : now + jittered(plan.random, plan.settings.fallbackInterval, half);
+}
+
+} // namespace
+
+auto toString(FreshnessLevel level) -> std::string
+{
+    switch (level) {
+    case FreshnessLevel::Confirmed:
+        return "confirmed";
+    case FreshnessLevel::Unconfirmed:
+        return "unconfirmed";
+    case FreshnessLevel::StalePlatform:
+        return "stale-platform";
+    case FreshnessLevel::PlatformOnly:
+        return "platform-only";
+    case FreshnessLevel::PeersOnly:
+        return "peers-only";
+    case FreshnessLevel::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+auto makeReadPlan(const ReadPlanSettings &settings, const base::DataCentre &dataCentre, std::uint64_t seed, absl::Time now) -> ReadPlan
+{
+    auto plan = ReadPlan{};
+    plan.settings = settings;
+    plan.dataCentre = dataCentre;
+    plan.random = base::Random(seed);
+    plan.startedAt = now;
+    plan.budget = makeReadBudget(settings.budget, now);
+    plan.prefixes[0].prefix = "contracts/";
+    plan.prefixes[1].prefix = "services/" + dataCentre.get() + "/";
+    plan.prefixes[2].prefix = "hosts/" + dataCentre.get();
+    for (auto &reading : plan.prefixes) {
+        reading.notBefore = now + jittered(plan.random, settings.startSpread, 0);
+    }
+    plan.unwatchedOffset = jittered(plan.random, settings.unwatchedAfter, half);
+    return plan;
+}
+
+auto setHosts(ReadPlan &plan, const std::vector<base::HostId> &hosts, const base::HostId &self) -> void
+{
+    auto watched = std::size_t{0};
+    for (auto &reading : plan.prefixes) {
+        const auto watchers = chooseWatchers(reading.prefix, hosts, watchersPerPrefix);
+        reading.watched = std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+        watched += reading.watched ? 1 : 0;
+    }
+    plan.budget.limits.perSecond = readRate(hosts.size(), watchersPerPrefix, watched);
+}
+
+auto chooseWatchers(const std::string &prefix, const std::vector<base::HostId> &hosts, std::size_t count) -> std::vector<base::HostId>
+{
+    auto scored = std::vector<std::pair<std::uint64_t, base::HostId>>{};
+    for (const auto &host : hosts) {
+        const auto text = prefix + " " + host.get();
+        scored.emplace_back(base::stableHash(text.data(), text.size()), host);
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    auto watchers = std::vector<base::HostId>{};
+    for (auto i = std::size_t{0}; i < std::min(count, scored.size()); ++i) {
+        watchers.push_back(scored[i].second);
+    }
+    return watchers;
+}
+
+auto planReads(ReadPlan &plan, const DocumentStore &store, absl::Time now) -> std::vector<ReadAction>
+{
+    auto actions = std::vector<ReadAction>{};
+    failOverdue(plan, now);
+    dropHeld(plan, store);
+    planLists(plan, now, actions);
+    planFetches(plan, now, actions);
+    return actions;
+}
+
+auto onListed(ReadPlan &plan, const DocumentStore &store, const std::string &prefix, base::Revision revision, const std::vector<ListedKey> &keys,
+              absl::Time now) -> void
+{
+    auto *reading = findPrefix(plan, prefix);
+    if (reading == nullptr) {
+        return;
+    }
+    const auto index = static_cast<std::size_t>(reading - plan.prefixes.data());
+    reading->calling = false;
+    reading->everListed = true;
+    for (const auto &listed : keys) {
+        const auto key = parseDocumentKey(listed.key);
+        if (key && isNeeded(*key, plan.dataCentre) && plan.pending.size() < maxDocuments && !holds(store, listed.key, listed.revision)) {
+            addPending(plan, index, listed, now);
+        }
+    }
+    if (revision < std::max(reading->listed, reading->knownAtCall)) {
+        noteStale(plan, *reading, now);
+        return;
+    }
+    noteFresh(plan, *reading, revision, now);
+    if (!hasPending(plan, index)) {
+        reading->confirmedAt = now;
+    }
+}
+
+auto onListFailed(ReadPlan &plan, const std::string &prefix, absl::Time now) -> void
+{
+    if (auto *reading = findPrefix(plan, prefix); reading != nullptr && reading->calling) {
+        failPrefix(plan, *reading, now);
+    }
+}
+
+auto onValue(ReadPlan &plan, const DocumentStore &store, const std::string &key, absl::Time now) -> void
+{
+    const auto place = plan.pending.find(key);
+    if (place == plan.pending.end()) {
+        return;
+    }
+    if (!holds(store, key, place->second.revision)) {
+        failValue(plan, place->second, now);
+        return;
+    }
+    const auto prefix = place->second.prefix;
+    plan.pending.erase(place);
+    if (!hasPending(plan, prefix) && !plan.prefixes[prefix].stale) {
+        plan.prefixes[prefix].confirmedAt = now;
+    }
+}
+
+auto onValueFailed(ReadPlan &plan, const std::string &key, absl::Time now) -> void
+{
+    if (const auto place = plan.pending.find(key); place != plan.pending.end() && place->second.calling) {
+        failValue(plan, place->second, now);
+    }
+}
+
+auto onPeerDigest(ReadPlan &plan, const ConfigDigest &digest, bool same, absl::Time now) -> void
+{
+    plan.platformRevision = std::max(plan.platformRevision, digest.platformRevision);
+    if (digest.dataCentre != plan.dataCentre) {
+        return;
+    }
+    plan.peerHeardAt = now;
+    if (!same) {
+        return;
+    }
+    plan.peerCompared = true;
+    for (auto i = std::size_t{0}; i < prefixCount; ++i) {
+        auto &confirmed = plan.prefixes[i].confirmedAt;
+        if (digest.confirmed[i] && *digest.confirmed[i] >= absl::ZeroDuration()) {
+            const auto told = now - *digest.confirmed[i] - plan.settings.relayMargin;
+            confirmed = std::max(confirmed.value_or(absl::InfinitePast()), told);
+        }
+    }
+}
+
+auto makeDigest(const ReadPlan &plan, const DocumentStore &store, absl::Time now) -> ConfigDigest
+{
+    auto digest = ConfigDigest{store.dataCentre, store.digest, plan.platformRevision, {}};
+    for (auto i = std::size_t{0}; i < prefixCount; ++i) {
+        if (plan.prefixes[i].confirmedAt) {
+            digest.confirmed[i] = now - *plan.prefixes[i].confirmedAt;
+        }
+    }
+    return digest;
+}
+
+auto mayServe(ReadPlan &plan, const DocumentStore &store, absl::Time now) -> bool
+{
+    const auto platformAsked = std::all_of(plan.prefixes.begin(), plan.prefixes.end(), [](const PrefixReading &reading) {
+        return reading.everListed && !reading.stale;
+    });
+    const auto complete = platformAsked && plan.pending.empty() && plan.peerCompared;
+    const auto waited = now - plan.startedAt >= plan.settings.startWait && !store.documents.empty();
+    plan.serving = plan.serving || complete || waited;
+    return plan.serving;
+}
+
+auto freshness(const ReadPlan &plan, absl::Time now) -> ConfigurationFreshness
+{
+    const auto confirmed = confirmedAt(plan);
+    const auto ago = confirmed ? std::optional(now - *confirmed) : std::nullopt;
+    const auto listed = std::any_of(plan.prefixes.begin(), plan.prefixes.end(), [](const PrefixReading &reading) {
+        return reading.everListed;
+    });
+    const auto stale = std::any_of(plan.prefixes.begin(), plan.prefixes.end(), [](const PrefixReading &reading) {
+        return reading.stale;
+    });
+    if (ago && *ago <= plan.settings.confirmedWindow) {
+        return {plan.peerCompared ? FreshnessLevel::Confirmed : FreshnessLevel::PlatformOnly, ago};
+    }
+    if (stale) {
+        return {FreshnessLevel::StalePlatform, ago};
+    }
+    if (ago) {
+        return {FreshnessLevel::Unconfirmed, ago};
+    }
+    if (plan.peerCompared) {
+        return {FreshnessLevel::PeersOnly, ago};
+    }
+    return {listed ? FreshnessLevel::PlatformOnly : FreshnessLevel::Unknown, ago};
+}
+
+} // namespace tamarackspan::configuration
--- /dev/null
+++ b/packages/configuration/tests/read_plan_test.cpp
@@ -0,0 +1,448 @@
+#include "tamarackspan/configuration/read_plan.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+
+namespace {
+
+using namespace tamarackspan::configuration;
+using namespace tamarackspan;
+
+constexpr auto step = absl::Milliseconds(250);
+
+/// A valid contract unless the revision is divisible by 5.
+auto contractText(const std::string &name, std::uint64_t revision) -> std::string
+{
+    return absl::StrCat("customer = \"", name, "\"\n[limits]\nrequests_per_second = 1\nburst = 0\nconcurrency = ", revision % 5 == 0 ? 0 : revision,
+                        "\n[data_centres]\na = 1000\n[operations.o]\nservice = \"s\"\nkind = \"query\"\ndeadline_ms = 5\n");
+}
+
+/// What the platform held at one revision: key to document.
+using Publication = std::map<std::string, Document>;
+
+struct Call
+{
+    ReadAction action;
+    absl::Time answerAt;
+};
+
+struct Host
+{
+    base::HostId id;
+    DocumentStore store;
+    ReadPlan plan;
+    std::vector<Call> calls;
+    bool platformReachable = true;
+    /// How many publications the platform that it reaches lags behind.
+    std::size_t platformLag = 0;
+    int side = 0;
+    bool running = true;
+    /// The reachable hosts that the plan was last told of.
+    std::vector<base::HostId> told;
+    /// The highest accepted revision seen under each key since the host started.
+    std::map<std::string, std::uint64_t> seen;
+};
+
+/// Hosts of one data centre on a virtual clock, with a platform that keeps its history.
+struct Fleet
+{
+    ReadPlanSettings settings;
+    StoreRules rules;
+    base::Random random{20261204};
+    absl::Time now = absl::UnixEpoch();
+    std::vector<Publication> history{Publication{}};
+    std::vector<Host> hosts;
+    std::uint64_t reads = 0;
+    std::uint64_t reverts = 0;
+    /// The platform answers watches at once although nothing changed.
+    bool answersAtOnce = false;
+    /// Hosts learn at once that another one died; otherwise they go on as if it ran.
+    bool hostsKnowWhoRuns = true;
+};
+
+auto startHost(Fleet &fleet, std::size_t place) -> void
+{
+    auto &host = fleet.hosts[place];
+    host.store = DocumentStore{};
+    host.store.dataCentre = base::DataCentre("a");
+    host.plan = makeReadPlan(fleet.settings, host.store.dataCentre, fleet.random.next(), fleet.now);
+    host.store.rules = fleet.rules;
+    host.calls.clear();
+    host.told.clear();
+    host.seen.clear();
+}
+
+auto makeFleet(std::size_t hosts, ReadPlanSettings settings = {}, StoreRules rules = {}) -> Fleet
+{
+    auto fleet = Fleet{};
+    fleet.rules = rules;
+    fleet.settings = settings;
+    fleet.hosts.resize(hosts);
+    for (auto i = std::size_t{0}; i < hosts; ++i) {
+        fleet.hosts[i].id = base::HostId(absl::StrCat("10.0.0.", i + 1, ":7000"));
+        startHost(fleet, i);
+    }
+    return fleet;
+}
+
+auto publish(Fleet &fleet, const std::string &name) -> std::uint64_t
+{
+    const auto revision = fleet.history.size();
+    auto publication = fleet.history.back();
+    publication["contracts/" + name] = {"contracts/" + name, base::Revision(revision), contractText(name, revision)};
+    fleet.history.push_back(publication);
+    return revision;
+}
+
+auto publicationFor(const Fleet &fleet, const Host &host) -> std::size_t
+{
+    return fleet.history.size() - 1 - std::min(host.platformLag, fleet.history.size() - 1);
+}
+
+auto answerList(Fleet &fleet, Host &host, const ListPrefix &call) -> void
+{
+    const auto revision = publicationFor(fleet, host);
+    auto keys = std::vector<ListedKey>{};
+    for (const auto &[key, document] : fleet.history[revision]) {
+        if (key.starts_with(call.prefix)) {
+            keys.push_back({key, document.revision});
+        }
+    }
+    onListed(host.plan, host.store, call.prefix, base::Revision(revision), keys, fleet.now);
+}
+
+auto answerFetch(Fleet &fleet, Host &host, const FetchValue &call) -> void
+{
+    const auto &publication = fleet.history[publicationFor(fleet, host)];
+    if (const auto place = publication.find(call.key); place != publication.end()) {
+        applyDocument(host.store, place->second, DocumentSource::Platform, fleet.now);
+    }
+    onValue(host.plan, host.store, call.key, fleet.now);
+}
+
+auto changedUnder(const Fleet &fleet, const Host &host, const ListPrefix &call) -> bool
+{
+    const auto &publication = fleet.history[publicationFor(fleet, host)];
+    return std::any_of(publication.begin(), publication.end(), [&call](const auto &entry) {
+        return entry.first.starts_with(call.prefix) && call.after && entry.second.revision > *call.after;
+    });
+}
+
+auto runCalls(Fleet &fleet, Host &host) -> void
+{
+    auto open = std::vector<Call>{};
+    for (auto &call : std::exchange(host.calls, {})) {
+        const auto *list = std::get_if<ListPrefix>(&call.action);
+        if (!host.platformReachable) {
+            continue;
+        }
+        if (list != nullptr && (fleet.now >= call.answerAt || fleet.answersAtOnce || changedUnder(fleet, host, *list))) {
+            answerList(fleet, host, *list);
+        } else if (list == nullptr) {
+            answerFetch(fleet, host, std::get<FetchValue>(call.action));
+        } else {
+            open.push_back(call);
+        }
+    }
+    host.calls = open;
+}
+
+auto sendCalls(Fleet &fleet, Host &host, const std::vector<base::HostId> &reachable) -> void
+{
+    if (host.told != reachable) {
+        setHosts(host.plan, reachable, host.id);
+        host.told = reachable;
+    }
+    for (auto &action : planReads(host.plan, host.store, fleet.now)) {
+        const auto *list = std::get_if<ListPrefix>(&action);
+        const auto wait = list == nullptr ? absl::ZeroDuration() : list->wait;
+        host.calls.push_back({std::move(action), fleet.now + wait});
+        ++fleet.reads;
+    }
+}
+
+auto gossip(Fleet &fleet, Host &host, const Host &peer) -> void
+{
+    const auto digest = makeDigest(peer.plan, peer.store, fleet.now);
+    const auto scope = differingScope(host.store, digest);
+    if (scope) {
+        for (const auto &document : documentsFor(peer.store, wantedKeys(host.store, listPage(peer.store, {*scope, ""}))).documents) {
+            applyDocument(host.store, document, DocumentSource::Peer, fleet.now);
+        }
+    }
+    onPeerDigest(host.plan, digest, !differingScope(host.store, digest), fleet.now);
+}
+
+auto noteReverts(Fleet &fleet, Host &host) -> void
+{
+    for (const auto &[key, stored] : host.store.documents) {
+        const auto revision = stored.accepted ? stored.accepted->version.revision.get() : 0;
+        auto &highest = host.seen[key];
+        fleet.reverts += revision < highest ? 1 : 0;
+        highest = std::max(highest, revision);
+    }
+}
+
+/// Advances the clock by one step: answers, calls, and one exchange of each host with a random peer on its side.
+auto advance(Fleet &fleet) -> void
+{
+    fleet.now += step;
+    for (auto &host : fleet.hosts) {
+        if (!host.running) {
+            continue;
+        }
+        auto reachable = std::vector<base::HostId>{};
+        auto peers = std::vector<const Host *>{};
+        for (const auto &peer : fleet.hosts) {
+            if (peer.running && peer.side == host.side) {
+                reachable.push_back(peer.id);
+                peers.push_back(&peer);
+            }
+        }
+        runCalls(fleet, host);
+        sendCalls(fleet, host, fleet.hostsKnowWhoRuns ? reachable : host.told);
+        const auto *peer = peers[fleet.random.below(peers.size())];
+        if (peer != &host) {
+            gossip(fleet, host, *peer);
+        }
+        noteReverts(fleet, host);
+    }
+}
+
+auto run(Fleet &fleet, absl::Duration time) -> void
+{
+    for (const auto end = fleet.now + time; fleet.now < end;) {
+        advance(fleet);
+    }
+}
+
+auto accepted(const Host &host, const std::string &key) -> std::uint64_t
+{
+    const auto place = host.store.documents.find(key);
+    return place == host.store.documents.end() || !place->second.accepted ? 0 : place->second.accepted->version.revision.get();
+}
+
+auto allHold(const Fleet &fleet, const std::string &key, std::uint64_t revision) -> bool
+{
+    return std::all_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const Host &host) {
+        return !host.running || accepted(host, key) == revision;
+    });
+}
+
+auto readsPerHostSecond(const Fleet &fleet) -> double
+{
+    return static_cast<double>(fleet.reads) / static_cast<double>(fleet.hosts.size()) / absl::ToDoubleSeconds(fleet.now - absl::UnixEpoch());
+}
+
+TEST(ReadPlan, AChangeIsInForceEverywhereWithinFifteenSeconds)
+{
+    auto fleet = makeFleet(12);
+    publish(fleet, "x");
+    run(fleet, absl::Seconds(15));
+    for (auto i = 0; i < 10; ++i) {
+        auto revision = publish(fleet, "x");
+        revision = revision % 5 == 0 ? publish(fleet, "x") : revision;
+        run(fleet, absl::Seconds(15));
+        ASSERT_TRUE(allHold(fleet, "contracts/x", revision)) << revision;
+    }
+    EXPECT_EQ(fleet.reverts, 0U);
+}
+
+/// True if a change is in force within 15 s although every open watch has gone silent.
+auto isInForceOverSilentWatches(ReadPlanSettings settings) -> bool
+{
+    auto fleet = makeFleet(12, settings);
+    publish(fleet, "x");
+    run(fleet, absl::Seconds(20));
+    for (auto &host : fleet.hosts) {
+        host.calls.clear();
+    }
+    const auto revision = publish(fleet, "x");
+    run(fleet, absl::Seconds(15));
+    return allHold(fleet, "contracts/x", revision);
+}
+
+/// True if a change is in force within 15 s although the hosts that watch have died and the others don't know.
+auto isInForceWithoutWatchers(ReadPlanSettings settings) -> bool
+{
+    auto fleet = makeFleet(12, settings);
+    publish(fleet, "x");
+    run(fleet, absl::Seconds(20));
+    const auto watchers = chooseWatchers("contracts/", fleet.hosts.front().told, watchersPerPrefix);
+    for (auto &host : fleet.hosts) {
+        host.running = std::find(watchers.begin(), watchers.end(), host.id) == watchers.end();
+    }
+    fleet.hostsKnowWhoRuns = false;
+    const auto revision = publish(fleet, "x");
+    run(fleet, absl::Seconds(15));
+    return allHold(fleet, "contracts/x", revision);
+}
+
+TEST(ReadPlan, AChangeIsInForceInTimeAlsoWhenWatchesGoSilentOrWatchersDie)
+{
+    EXPECT_TRUE(isInForceOverSilentWatches({}));
+    EXPECT_TRUE(isInForceWithoutWatchers({}));
+}
+
+TEST(ReadPlan, TheSameChecksFailWithoutTimeoutAndFallback)
+{
+    auto settings = ReadPlanSettings{};
+    settings.callTimeout = absl::Hours(1);
+    EXPECT_FALSE(isInForceOverSilentWatches(settings));
+    settings = ReadPlanSettings{};
+    settings.unwatchedAfter = absl::Hours(1);
+    EXPECT_FALSE(isInForceWithoutWatchers(settings));
+}
+
+/// Runs an hour with a change every 39 s, hosts replaced, and the platform down at times; returns reads per host and second.
+auto readsOverAnHour(ReadPlanSettings settings, bool answersAtOnce) -> double
+{
+    auto fleet = makeFleet(10, settings);
+    fleet.answersAtOnce = answersAtOnce;
+    for (auto i = 0; i < 60; ++i) {
+        publish(fleet, absl::StrCat("c", i));
+    }
+    for (auto second = 0; second < 3600; ++second) {
+        if (second % 39 == 0) {
+            publish(fleet, absl::StrCat("c", second % 60));
+        }
+        if (second % 2520 == 2519) {
+            startHost(fleet, fleet.random.below(fleet.hosts.size()));
+        }
+        for (auto &host : fleet.hosts) {
+            host.platformReachable = second % 600 >= 60;
+        }
+        run(fleet, absl::Seconds(1));
+    }
+    const auto reads = readsPerHostSecond(fleet);
+    std::cout << "reads per host and second: " << reads << "\n";
+    return reads;
+}
+
+TEST(ReadPlan, ReadsStayUnderTheBudgetOverAnHourWithFailuresAndReplacedHosts)
+{
+    EXPECT_LT(readsOverAnHour({}, false), 0.48);
+    EXPECT_LT(readsOverAnHour({}, true), 0.48);
+}
+
+TEST(ReadPlan, TheBudgetCheckFailsWithTheBudgetSwitchedOff)
+{
+    auto settings = ReadPlanSettings{};
+    settings.keepsBudget = false;
+    EXPECT_GT(readsOverAnHour(settings, true), 0.48);
+}
+
+/// Brings about partitions, stale platforms and replaced hosts in any order, heals them, and checks that nothing reverted and all hosts hold the same.
+auto checkFaults(StoreRules rules) -> bool
+{
+    return rc::check("any faults", [rules] {
+        auto fleet = makeFleet(5, {}, rules);
+        fleet.random = base::Random(*rc::gen::arbitrary<std::uint64_t>());
+        publish(fleet, "x");
+        run(fleet, absl::Seconds(10));
+        for (auto i = 0; i < 12; ++i) {
+            publish(fleet, *rc::gen::elementOf(std::vector<std::string>{"x", "y"}));
+            auto &host = fleet.hosts[*rc::gen::inRange<std::size_t>(0, 5)];
+            host.platformReachable = *rc::gen::inRange(0, 3) > 0;
+            host.platformLag = *rc::gen::inRange<std::size_t>(0, 6);
+            host.side = *rc::gen::inRange(0, 2);
+            if (*rc::gen::inRange(0, 4) == 0) {
+                startHost(fleet, *rc::gen::inRange<std::size_t>(0, 5));
+            }
+            run(fleet, absl::Seconds(*rc::gen::inRange(0, 20)));
+        }
+        for (auto &host : fleet.hosts) {
+            host.side = 0;
+            host.platformLag = 0;
+            host.platformReachable = true;
+        }
+        run(fleet, absl::Seconds(60));
+        RC_ASSERT(fleet.reverts == 0U);
+        for (const auto &host : fleet.hosts) {
+            RC_ASSERT(listPage(host.store, {}).documents == listPage(fleet.hosts.front().store, {}).documents);
+            RC_ASSERT(freshness(host.plan, fleet.now).level == FreshnessLevel::Confirmed);
+        }
+    });
+}
+
+TEST(ReadPlan, NothingRevertsAndAllConvergeAfterPartitionsStalePlatformsAndReplacedHosts)
+{
+    EXPECT_TRUE(checkFaults({}));
+}
+
+TEST(ReadPlan, TheFaultCheckFailsWhenOlderDocumentsAreTaken)
+{
+    EXPECT_FALSE(checkFaults({false, true}));
+}
+
+TEST(ReadPlan, ANewHostTakesTheHighestBeforeItServesAndAStalePlatformChangesNothing)
+{
+    auto fleet = makeFleet(3);
+    publish(fleet, "x");
+    const auto newest = publish(fleet, "x");
+    run(fleet, absl::Seconds(20));
+    for (auto &host : fleet.hosts) {
+        host.platformLag = 1;
+    }
+    run(fleet, absl::Seconds(60));
+    startHost(fleet, 0);
+    auto &host = fleet.hosts[0];
+    while (!mayServe(host.plan, host.store, fleet.now)) {
+        advance(fleet);
+    }
+    EXPECT_EQ(accepted(host, "contracts/x"), newest);
+    run(fleet, absl::Seconds(60));
+    EXPECT_TRUE(allHold(fleet, "contracts/x", newest));
+    EXPECT_EQ(freshness(host.plan, fleet.now).level, FreshnessLevel::StalePlatform);
+    EXPECT_EQ(fleet.reverts, 0U);
+}
+
+TEST(ReadPlan, AHostThatIsAloneSaysWhatItCannotKnow)
+{
+    auto fleet = makeFleet(1);
+    fleet.hosts[0].platformReachable = false;
+    publish(fleet, "x");
+    run(fleet, absl::Seconds(20));
+    EXPECT_FALSE(mayServe(fleet.hosts[0].plan, fleet.hosts[0].store, fleet.now));
+    EXPECT_EQ(freshness(fleet.hosts[0].plan, fleet.now).level, FreshnessLevel::Unknown);
+    fleet.hosts[0].platformReachable = true;
+    run(fleet, absl::Seconds(40));
+    EXPECT_TRUE(mayServe(fleet.hosts[0].plan, fleet.hosts[0].store, fleet.now));
+    EXPECT_EQ(freshness(fleet.hosts[0].plan, fleet.now).level, FreshnessLevel::PlatformOnly);
+    auto cutOff = makeFleet(2);
+    publish(cutOff, "x");
+    run(cutOff, absl::Seconds(20));
+    EXPECT_EQ(freshness(cutOff.hosts[0].plan, cutOff.now).level, FreshnessLevel::Confirmed);
+    cutOff.hosts[0].platformReachable = cutOff.hosts[1].platformReachable = false;
+    run(cutOff, absl::Seconds(60));
+    EXPECT_EQ(freshness(cutOff.hosts[0].plan, cutOff.now).level, FreshnessLevel::Unconfirmed);
+    startHost(cutOff, 0);
+    cutOff.hosts[1].plan.prefixes = makeReadPlan({}, base::DataCentre("a"), 1, cutOff.now).prefixes;
+    run(cutOff, absl::Seconds(20));
+    EXPECT_TRUE(mayServe(cutOff.hosts[0].plan, cutOff.hosts[0].store, cutOff.now));
+    EXPECT_EQ(freshness(cutOff.hosts[0].plan, cutOff.now).level, FreshnessLevel::PeersOnly);
+}
+
+TEST(ReadBudget, PoolsTheWatchersPartAndStaysUnderTheTargetForEverySize)
+{
+    EXPECT_TRUE(rc::check("sum over the hosts of a data centre", [] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 2000);
+        const auto watchers = std::min<std::size_t>(hosts, watchersPerPrefix);
+        const auto sum = static_cast<double>(hosts - watchers) * readRate(hosts, watchersPerPrefix, 0)
+            + static_cast<double>(watchers) * readRate(hosts, watchersPerPrefix, prefixCount);
+        RC_ASSERT(sum <= 0.451 * static_cast<double>(hosts));
+    }));
+    auto budget = makeReadBudget({1, 2}, absl::UnixEpoch());
+    EXPECT_TRUE(takeRead(budget, absl::UnixEpoch()));
+    EXPECT_TRUE(takeRead(budget, absl::UnixEpoch()));
+    EXPECT_FALSE(takeRead(budget, absl::UnixEpoch() - absl::Seconds(9)));
+    EXPECT_TRUE(takeRead(budget, absl::UnixEpoch() + absl::Seconds(1)));
+}
+
+} // namespace
