--- a/packages/query/include/tamarackspan/query/query_actions.h
+++ b/packages/query/include/tamarackspan/query/query_actions.h
@@ -62,7 +62,7 @@
 struct Finish
 {
     Pin pin;
-    /// For each covered shard, the one attempt whose rows count.
+    /// For each covered shard, the one attempt whose rows count; also if the answer is refused, when the caller gets none of them.
     std::vector<base::AttemptId> accepted;
     std::uint32_t shardsTotal = 0;
     std::vector<base::ShardId> missing;
--- a/packages/query/src/query_machine.cpp
+++ b/packages/query/src/query_machine.cpp
@@ -171,7 +171,7 @@
     for (auto i = std::size_t{0}; i < state.shards.size(); ++i) {
         if (!state.shards[i].accepted.has_value()) {
             end.missing.push_back(shardsOf(state)[i].id);
-        } else if (!end.refused) {
+        } else {
             end.accepted.push_back(*state.shards[i].accepted);
         }
     }
@@ -394,6 +394,9 @@
     const auto outcome = check == ReplyCheck::WrongPin && checks.pin ? LeafOutcome::NotHeld : reply.outcome;
     auto call = Call{state, context, now, actions};
     auto &attempt = state.attempts[reply.attempt.get()];
+    if (attempt.shardIndex >= state.shards.size()) {
+        return;
+    }
     auto &shard = state.shards[attempt.shardIndex];
     shard.openAttempts -= attempt.open ? 1 : 0;
     attempt.open = false;
--- a/packages/routing/src/ownership.cpp
+++ b/packages/routing/src/ownership.cpp
@@ -152,7 +152,7 @@
     }
     auto least = LeafShare{UINT32_MAX, UINT32_MAX};
     for (const auto &view : views) {
-        if (view.until <= from && view.until < now) {
+        if (view.until <= from) {
             continue;
         }
         auto share = LeafShare{};
