Choose the owner of a leaf by own requests in flight

A single owner is faster, but when its host goes nobody may use the leaf until the window has passed; two owners stay the default, ownersPerLeaf sets it.

--- a/packages/query/benches/fleet.cpp
+++ b/packages/query/benches/fleet.cpp
@@ -1,7 +1,5 @@
 #include "fleet.h"
 
-#include "tamarackspan/routing/ownership.h"
-
 #include <algorithm>
 #include <cmath>
 #include <memory>
@@ -68,12 +66,15 @@
     Pin pin;
     LeafOutcome outcome = LeafOutcome::Complete;
     bool answered = false;
+    bool over = false;
 };
 
 struct Entry
 {
     routing::LeafTable leafs;
     ExtraLoadBudget budget;
+    /// Own requests in flight at each owner's queue.
+    absl::flat_hash_map<std::size_t, std::uint32_t> inFlight;
 };
 
 struct RunningQuery
@@ -121,13 +122,13 @@
 {
 public:
     Fleet(const Scenario &scenario, const Step &step)
-        : scenario(scenario)
-        , step(step)
-        , arrivals(scenario.seed)
-        , services(scenario.seed + 1)
-        , choices(scenario.seed + 2)
-        , view(std::make_shared<const ServiceView>(ServiceView{base::Revision{1}, makeService(scenario)}))
-        , entries(entryCount)
+        : scenario(scenario),
+          step(step),
+          arrivals(scenario.seed),
+          services(scenario.seed + 1),
+          choices(scenario.seed + 2),
+          view(std::make_shared<const ServiceView>(ServiceView{base::Revision{1}, makeService(scenario)})),
+          entries(entryCount)
     {
         for (auto &entry : this->entries) {
             entry.leafs.policy = step.routing;
@@ -138,7 +139,7 @@
         for (auto i = 0; i < hostCount; ++i) {
             hosts.emplace_back("10.0.0." + std::to_string(i) + ":7000");
         }
-        this->owners = routing::ownershipOf(this->view->service, hosts);
+        this->owners = routing::ownershipOf(this->view->service, hosts, step.ownersPerLeaf);
         this->makeQueues();
     }
 
@@ -251,6 +252,7 @@
             if (const auto *sent = std::get_if<SendAttempt>(&action)) {
                 this->send(number, *sent);
             } else if (const auto *cancelled = std::get_if<CancelAttempt>(&action)) {
+                this->over(query.requests[cancelled->attempt.get()]);
                 this->push(this->now + networkDelay, EventKind::CancelAtOwner, query.requests[cancelled->attempt.get()]);
             } else {
                 this->count(query, std::get<Finish>(action));
@@ -263,11 +265,34 @@
         }
     }
 
+    auto chooseQueue(const RunningQuery &query, const base::LeafId &leaf) -> std::size_t
+    {
+        const auto &owners = this->owners[leaf];
+        if (this->step.ownerChoice == OwnerChoice::Draw) {
+            return this->queueNumbers.at({leaf, routing::chooseOwner(owners, query.ownerDraw)->host});
+        }
+        auto inFlight = std::array<std::uint32_t, routing::maxOwnersPerLeaf>{};
+        for (auto i = std::size_t{0}; i < owners.size(); ++i) {
+            inFlight.at(i) = this->entries[query.entry].inFlight[this->queueNumbers.at({leaf, owners[i].host})];
+        }
+        return this->queueNumbers.at({leaf, routing::chooseOwner(owners, std::span{inFlight}.first(owners.size()), query.ownerDraw)->host});
+    }
+
+    /// The request is over for the entry, which counts it no longer.
+    auto over(std::size_t id) -> void
+    {
+        auto &request = this->requests[id];
+        if (!request.over) {
+            request.over = true;
+            --this->entries[this->queries[request.query]->entry].inFlight[request.queue];
+        }
+    }
+
     auto send(std::size_t number, const SendAttempt &sent) -> void
     {
         auto &query = *this->queries[number];
-        const auto *owner = routing::chooseOwner(this->owners[sent.leaf], query.ownerDraw);
-        const auto queue = this->queueNumbers.at({sent.leaf, owner->host});
+        const auto queue = this->chooseQueue(query, sent.leaf);
+        ++this->entries[query.entry].inFlight[queue];
         query.requests.push_back(this->requests.size());
         this->push(this->now + networkDelay, EventKind::AtOwner, this->requests.size());
         this->requests.push_back({number, queue, sent.attempt, sent.shard, query.state.pin});
@@ -401,6 +426,7 @@
     auto replyAtEntry(std::size_t id) -> void
     {
         const auto &request = this->requests[id];
+        this->over(id);
         auto &query = *this->queries[request.query];
         auto actions = std::vector<Action>{};
         auto shared = this->context(query);
--- a/packages/query/benches/fleet.h
+++ b/packages/query/benches/fleet.h
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/query/query_machine.h"
 #include "tamarackspan/routing/leaf_queue.h"
+#include "tamarackspan/routing/ownership.h"
 
 #include "absl/time/time.h"
 
@@ -48,6 +49,14 @@
     contracts::BelowFloor belowFloor = contracts::BelowFloor::Label;
 };
 
+/// How an entry chooses among the owners of a leaf.
+enum class OwnerChoice {
+    /// One draw for the whole query.
+    Draw,
+    /// The owner with the fewest own requests in flight for each of its slots.
+    LeastInFlight,
+};
+
 /// The policy under test.
 struct Step
 {
@@ -56,6 +65,8 @@
     routing::RoutingPolicy routing;
     routing::QueuePolicy queue;
     std::uint32_t extraLoadPermille = 50;
+    std::uint32_t ownersPerLeaf = routing::maxOwnersPerLeaf;
+    OwnerChoice ownerChoice = OwnerChoice::Draw;
 };
 
 /// What one run showed; latencies in milliseconds.
--- a/packages/query/benches/policy_bench.cpp
+++ b/packages/query/benches/policy_bench.cpp
@@ -36,15 +36,28 @@
         change(step);
         all.push_back(std::move(step));
     };
-    add("+two choices", [](Step &step) { step.routing.choice = routing::ReplicaChoice::TwoChoices; });
-    add("+shed early", [](Step &step) { step.queue.shedEarly = true; });
-    add("+retry", [](Step &step) { step.query.retry = true; });
-    add("+hedge", [](Step &step) { step.query.hedge = true; });
+    add("+two choices", [](Step &step) {
+        step.routing.choice = routing::ReplicaChoice::TwoChoices;
+    });
+    add("+owner choice", [](Step &step) {
+        step.ownerChoice = OwnerChoice::LeastInFlight;
+    });
+    add("+shed early", [](Step &step) {
+        step.queue.shedEarly = true;
+    });
+    add("+retry", [](Step &step) {
+        step.query.retry = true;
+    });
+    add("+hedge", [](Step &step) {
+        step.query.hedge = true;
+    });
     add("+ejection", [](Step &step) {
         step.routing.ejectAfterFailures = routing::RoutingPolicy{}.ejectAfterFailures;
         step.routing.ejectAfterOverdue = routing::RoutingPolicy{}.ejectAfterOverdue;
     });
-    add("+slow start", [](Step &step) { step.routing.slowStart = routing::RoutingPolicy{}.slowStart; });
+    add("+slow start", [](Step &step) {
+        step.routing.slowStart = routing::RoutingPolicy{}.slowStart;
+    });
     return all;
 }
 
@@ -117,12 +130,32 @@
             scenario.load = load;
             title(scenario, "30% urgent, thin answers refused");
             print("naive", play(scenario, steps().front()));
-            print("+shed early", play(scenario, steps()[2]));
+            print("+shed early", play(scenario, steps()[3]));
             print("whole policy", play(scenario, steps().back()));
         }
     }
 }
 
+auto runOwners() -> void
+{
+    for (const auto load : {0.2, 0.4}) {
+        auto scenario = shapes()[0];
+        scenario.load = load;
+        scenario.length = absl::Seconds(12);
+        for (const auto &fault : faults) {
+            scenario.fault = fault.fault;
+            title(scenario, fault.name);
+            auto step = steps().back();
+            step.ownerChoice = OwnerChoice::Draw;
+            print("2, draw", play(scenario, step));
+            step.ownerChoice = OwnerChoice::LeastInFlight;
+            print("2, in flight", play(scenario, step));
+            step.ownersPerLeaf = 1;
+            print("1 owner", play(scenario, step));
+        }
+    }
+}
+
 auto runSweep() -> void
 {
     auto scenario = shapes()[0];
@@ -144,7 +177,7 @@
 
 } // namespace
 
-/// Plays every scenario against every step of the policy: `policy_bench [faults|load|sweep]`, all of them by default.
+/// Plays every scenario against every step of the policy: `policy_bench [faults|load|owners|sweep]`, all of them by default.
 auto main(int argc, char **argv) -> int
 {
     const auto only = argc > 1 ? std::string_view{argv[1]} : std::string_view{};
@@ -154,6 +187,9 @@
     if (only.empty() || only == "load") {
         runLoad();
     }
+    if (only.empty() || only == "owners") {
+        runOwners();
+    }
     if (only.empty() || only == "sweep") {
         runSweep();
     }
--- a/packages/routing/include/tamarackspan/routing/ownership.h
+++ b/packages/routing/include/tamarackspan/routing/ownership.h
@@ -44,15 +44,21 @@
 /// Returns the owners of a leaf by rendezvous hashing of its group over the hosts, first choice first. There are at most maxOwnersPerLeaf of them, and so few
 /// that each has at least one whole slot and one whole connection. The parts add up to the leaf's caps. Empty if there are no hosts, or if the leaf isn't in
 /// the service or has no slots. The order of `hosts` doesn't matter.
-[[nodiscard]] auto ownersOf(const contracts::Service &service, const base::LeafId &leaf, std::span<const base::HostId> hosts) -> std::vector<OwnerShare>;
+[[nodiscard]] auto ownersOf(const contracts::Service &service, const base::LeafId &leaf, std::span<const base::HostId> hosts,
+                            std::uint32_t ownersPerLeaf = maxOwnersPerLeaf) -> std::vector<OwnerShare>;
 
 /// Returns the owners of all leafs of a service: as ownersOf for each, but in one pass.
-[[nodiscard]] auto ownershipOf(const contracts::Service &service, std::span<const base::HostId> hosts) -> OwnershipMap;
+[[nodiscard]] auto ownershipOf(const contracts::Service &service, std::span<const base::HostId> hosts, std::uint32_t ownersPerLeaf = maxOwnersPerLeaf)
+    -> OwnershipMap;
 
 /// Returns one of the owners, each in proportion to its slots; null if there are none. Leafs of one group asked for with the same draw mostly get the same
 /// owner, so a query uses one draw for all its leafs.
 [[nodiscard]] auto chooseOwner(std::span<const OwnerShare> owners, std::uint64_t draw) noexcept -> const OwnerShare *;
 
+/// Returns the owner with the fewest of this entry's requests in flight for each of its slots; the draw decides between equals. `inFlight` is in the order of
+/// the owners.
+[[nodiscard]] auto chooseOwner(std::span<const OwnerShare> owners, std::span<const std::uint32_t> inFlight, std::uint64_t draw) noexcept -> const OwnerShare *;
+
 /// One list of hosts and when this process went by it.
 struct HostView
 {
--- a/packages/routing/src/ownership.cpp
+++ b/packages/routing/src/ownership.cpp
@@ -78,9 +78,9 @@
     return hashes;
 }
 
-auto divide(const contracts::Leaf &leaf, const Winners &winners) -> std::vector<OwnerShare>
+auto divide(const contracts::Leaf &leaf, const Winners &winners, std::uint32_t ownersPerLeaf) -> std::vector<OwnerShare>
 {
-    const auto count = std::min({winners.count, leaf.slots, leaf.connections});
+    const auto count = std::min({winners.count, ownersPerLeaf, leaf.slots, leaf.connections});
     const auto first = static_cast<std::uint32_t>(hashText(leaf.id.get()) % maxOwnersPerLeaf);
     auto owners = std::vector<OwnerShare>{};
     owners.reserve(count);
@@ -97,16 +97,17 @@
     return groupAt(service, static_cast<std::size_t>(std::distance(service.leafs.begin(), service.leafs.lower_bound(leaf))));
 }
 
-auto ownersOf(const contracts::Service &service, const base::LeafId &leaf, std::span<const base::HostId> hosts) -> std::vector<OwnerShare>
+auto ownersOf(const contracts::Service &service, const base::LeafId &leaf, std::span<const base::HostId> hosts, std::uint32_t ownersPerLeaf)
+    -> std::vector<OwnerShare>
 {
     const auto found = service.leafs.find(leaf);
     if (found == service.leafs.end()) {
         return {};
     }
-    return divide(found->second, winnersOf(groupKey(service, ownershipGroup(service, leaf)), hosts, hashHosts(hosts)));
+    return divide(found->second, winnersOf(groupKey(service, ownershipGroup(service, leaf)), hosts, hashHosts(hosts)), ownersPerLeaf);
 }
 
-auto ownershipOf(const contracts::Service &service, std::span<const base::HostId> hosts) -> OwnershipMap
+auto ownershipOf(const contracts::Service &service, std::span<const base::HostId> hosts, std::uint32_t ownersPerLeaf) -> OwnershipMap
 {
     const auto hashes = hashHosts(hosts);
     auto owners = OwnershipMap{};
@@ -117,7 +118,7 @@
         if (position % std::max(service.ownershipGroupSize, 1U) == 0) {
             winners = winnersOf(groupKey(service, groupAt(service, position)), hosts, hashes);
         }
-        owners.emplace(id, divide(leaf, winners));
+        owners.emplace(id, divide(leaf, winners, ownersPerLeaf));
         ++position;
     }
     return owners;
@@ -143,6 +144,23 @@
     return nullptr;
 }
 
+auto chooseOwner(std::span<const OwnerShare> owners, std::span<const std::uint32_t> inFlight, std::uint64_t draw) noexcept -> const OwnerShare *
+{
+    const auto *best = chooseOwner(owners, draw);
+    if (best == nullptr || inFlight.size() != owners.size()) {
+        return best;
+    }
+    auto bestLoad = std::uint64_t{inFlight[static_cast<std::size_t>(best - owners.data())]};
+    for (auto i = std::size_t{0}; i < owners.size(); ++i) {
+        // Compares load per slot without a division.
+        if (owners[i].slots > 0 && std::uint64_t{inFlight[i]} * best->slots < bestLoad * owners[i].slots) {
+            best = &owners[i];
+            bestLoad = inFlight[i];
+        }
+    }
+    return best;
+}
+
 auto shareInForce(const contracts::Service &service, const base::LeafId &leaf, const base::HostId &host, std::span<const HostView> views, absl::Time now,
                   absl::Duration window) -> LeafShare
 {
--- a/packages/routing/tests/ownership_test.cpp
+++ b/packages/routing/tests/ownership_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <string>
 
 namespace {
@@ -78,6 +79,8 @@
     }
     EXPECT_NEAR(first, 2000, 120);
     EXPECT_EQ(chooseOwner({}, 1), nullptr);
+    EXPECT_EQ(chooseOwner(owners, std::array{4U, 1U}, 1), &owners[1]);
+    EXPECT_EQ(chooseOwner(owners, std::array{2U, 2U}, ~std::uint64_t{0}), &owners[0]);
 }
 
 /// Lets hosts take up a sequence of lists, each up to `lag` late, and returns the most slots of one leaf that they ever held together.
