Count overdue attempts against a replica, and held slots against its queue

Replicas with silent connections drew load: what hangs there is cancelled and no longer in flight, and the few answers are fast.

--- a/packages/routing/include/tamarackspan/routing/leaf_table.h
+++ b/packages/routing/include/tamarackspan/routing/leaf_table.h
@@ -31,6 +31,8 @@
     double choiceQuantile = 0.5;
     /// What is known of a leaf's latency counts half after this long without a sample.
     absl::Duration forgetHalfLife = absl::Seconds(5);
+    /// How much worse a leaf counts all of whose recent attempts failed or were overdue; 0 doesn't look at that.
+    double troubleWeight = 10;
     /// Failures in a row that eject a leaf; 0 never ejects.
     std::uint32_t ejectAfterFailures = 3;
     /// Overdue attempts in a row, with no answer between them, that eject a leaf; 0 never ejects.
@@ -55,6 +57,8 @@
     /// The quantile of `latency` at the time of the last sample.
     absl::Duration learned;
     absl::Time lastSample = absl::InfinitePast();
+    /// The part of the recent attempts that failed or were overdue.
+    double trouble = 0;
     /// Own requests sent and not yet over.
     std::uint32_t inFlight = 0;
     std::uint32_t consecutiveFailures = 0;
--- a/packages/routing/src/leaf_queue.cpp
+++ b/packages/routing/src/leaf_queue.cpp
@@ -25,14 +25,36 @@
     return queue.policy.shedEarly && now + wait + queue.serviceTime > request.deadline;
 }
 
-auto expectedWait(const LeafQueue &queue, const QueueRequest &request) -> absl::Duration
+/// The slots whose requests are expected to end in the usual time, and when the first of the others is free again.
+struct SlotForecast
 {
-    const auto limit = concurrencyLimit(queue);
-    if (limit == 0 || queue.running.size() < limit) {
+    std::uint32_t moving = 0;
+    absl::Time firstStuckFree = absl::InfiniteFuture();
+};
+
+auto forecastSlots(const LeafQueue &queue) -> SlotForecast
+{
+    auto forecast = SlotForecast{concurrencyLimit(queue), absl::InfiniteFuture()};
+    for (const auto &[id, request] : queue.running) {
+        if (request.lost || request.cancelled) {
+            forecast.moving -= forecast.moving > 0 ? 1 : 0;
+            forecast.firstStuckFree = std::min(forecast.firstStuckFree, request.slotFreeAt);
+        }
+    }
+    return forecast;
+}
+
+auto expectedWait(const LeafQueue &queue, const QueueRequest &request, absl::Time now) -> absl::Duration
+{
+    if (queue.running.size() < concurrencyLimit(queue)) {
         return absl::ZeroDuration();
     }
+    const auto forecast = forecastSlots(queue);
+    if (forecast.moving == 0) {
+        return forecast.firstStuckFree - now;
+    }
     const auto ahead = std::distance(queue.waiting.begin(), queue.waiting.lower_bound(request));
-    return queue.serviceTime * (static_cast<double>(ahead) + 0.5) / limit;
+    return queue.serviceTime * (static_cast<double>(ahead) + 0.5) / forecast.moving;
 }
 
 auto removeWaiting(LeafQueue &queue, const QueueRequest &request) -> void
@@ -116,7 +138,7 @@
         actions.emplace_back(Reject{request.id, QueueRejection::NotOwner});
         return;
     }
-    if (tooLate(queue, request, expectedWait(queue, request), now)) {
+    if (tooLate(queue, request, expectedWait(queue, request, now), now)) {
         actions.emplace_back(lateRejection(request, now));
         return;
     }
--- a/packages/routing/src/leaf_table.cpp
+++ b/packages/routing/src/leaf_table.cpp
@@ -15,6 +15,8 @@
 constexpr auto unwellFactor = 1.1;
 /// The least part of its load that a leaf gets at the beginning of its slow start.
 constexpr auto slowStartFloor = 0.05;
+/// The part of one attempt in LeafState::trouble.
+constexpr auto troubleGain = 1.0 / 16;
 constexpr auto wholePermille = std::size_t{1000};
 
 auto contains(std::span<const base::LeafId> leafs, const base::LeafId &leaf) -> bool
@@ -53,17 +55,20 @@
     return table.service.weight() > 0 ? table.service.quantile(table.policy.choiceQuantile) : unknownLatency;
 }
 
-/// The latency to reckon with: what was learned of the leaf, falling back to its service's as that grows old.
-auto expectedLatency(const LeafTable &table, const LeafState &leaf, absl::Duration service, absl::Time now) -> double
+/// How much what was learned of the leaf still counts, from 0 to 1.
+auto knowledge(const RoutingPolicy &policy, const LeafState &leaf, absl::Time now) -> double
 {
-    const auto known = leaf.lastSample == absl::InfinitePast() ? 0.0 : std::exp2(-absl::FDivDuration(now - leaf.lastSample, table.policy.forgetHalfLife));
-    return known * absl::ToDoubleMicroseconds(leaf.learned) + (1 - known) * absl::ToDoubleMicroseconds(service);
+    return leaf.lastSample == absl::InfinitePast() ? 0.0 : std::exp2(-absl::FDivDuration(now - leaf.lastSample, policy.forgetHalfLife));
 }
 
+/// The expected wait for the leaf in comparison with its siblings: what was learned of it, falling back to its service's latency as that grows old.
 auto score(const LeafTable &table, const LeafState &leaf, absl::Duration service, absl::Time now) -> double
 {
+    const auto known = knowledge(table.policy, leaf, now);
+    const auto latency = known * absl::ToDoubleMicroseconds(leaf.learned) + (1 - known) * absl::ToDoubleMicroseconds(service);
     const auto load = static_cast<double>(leaf.inFlight + 1) * (leaf.unwellHint ? unwellFactor : 1.0);
-    return load * expectedLatency(table, leaf, service, now) / warmth(table.policy, leaf, now);
+    const auto trouble = 1 + table.policy.troubleWeight * leaf.trouble * known;
+    return load * latency * trouble / warmth(table.policy, leaf, now);
 }
 
 auto mayProbe(const LeafState &leaf, absl::Time now) -> bool
@@ -163,6 +168,8 @@
     leaf.ejection = absl::ZeroDuration();
     leaf.probing = false;
     leaf.inUseSince = now;
+    // Slow start is caution enough for a leaf that works again.
+    leaf.trouble = 0;
 }
 
 } // namespace
@@ -219,6 +226,7 @@
     table.service.add(latency);
     sample(table, state, now);
     state.consecutiveFailures = 0;
+    state.trouble -= state.trouble * troubleGain;
     state.consecutiveOverdue = 0;
     if (isEjected(state)) {
         takeBack(state, now);
@@ -231,6 +239,7 @@
     over(state);
     censor(table, state, shard, waited, now);
     ++state.consecutiveFailures;
+    state.trouble += (1 - state.trouble) * troubleGain;
     ejectIfDue(table.policy, state, now);
 }
 
@@ -241,6 +250,7 @@
     censor(table, state, shard, waited, now);
     if (overdue) {
         ++state.consecutiveOverdue;
+        state.trouble += (1 - state.trouble) * troubleGain;
         ejectIfDue(table.policy, state, now);
     } else {
         state.probing = false;
