--- a/packages/query/include/tamarackspan/query/query_state.h
+++ b/packages/query/include/tamarackspan/query/query_state.h
@@ -39,8 +39,6 @@
     absl::Duration leastHedgeDelay = absl::Milliseconds(1);
     /// Try a shard on another replica when a request for it ended without its rows.
     bool retry = true;
-    /// How long a shard waits for the budget to allow a retry, in hedge delays.
-    double unpaidPatience = 2;
     /// Leaf requests for one shard on one snapshot, hedges and retries included.
     std::uint32_t maxAttemptsPerShard = 4;
     /// Start the query again on another snapshot, once, if shards don't hold the first.
@@ -135,10 +133,8 @@
     std::optional<base::AttemptId> accepted;
     std::uint32_t openAttempts = 0;
     std::uint32_t attempts = 0;
-    /// When the shard is to be hedged next, or retried if none of its attempts is open.
+    /// When the shard is to be hedged next.
     absl::Time hedgeAt = absl::InfiniteFuture();
-    /// Since when the budget hasn't allowed a retry.
-    absl::Time unpaidSince = absl::InfiniteFuture();
     /// Nothing further is tried.
     bool given = false;
     /// A leaf doesn't hold the snapshot.
--- a/packages/query/src/query_machine.cpp
+++ b/packages/query/src/query_machine.cpp
@@ -233,25 +233,6 @@
     }
 }
 
-/// Retries the shard now, or later if the budget allows it only then; false if nothing is left to try in time.
-auto retryShard(Call &call, std::uint32_t index) -> bool
-{
-    auto &shard = call.state.shards[index];
-    const auto result = sendExtra(call, index, SendReason::Retry);
-    if (result != ExtraResult::NotPaid) {
-        return result == ExtraResult::Sent;
-    }
-    if (shard.unpaidSince == absl::InfiniteFuture()) {
-        shard.unpaidSince = call.now;
-    }
-    const auto delay = hedgeDelay(call, index);
-    if (call.now - shard.unpaidSince >= call.state.request.policy.unpaidPatience * delay) {
-        return false;
-    }
-    shard.hedgeAt = call.now + delay / unpaidHedgePart;
-    return true;
-}
-
 /// Starts again on another snapshot that more shards hold than can still be covered on this one.
 auto restart(Call &call) -> bool
 {
@@ -298,7 +279,7 @@
         shard.hedgeAt = call.state.request.policy.hedge ? call.now + hedgeDelay(call, index) : absl::InfiniteFuture();
         return;
     }
-    if (call.state.request.policy.retry && retryShard(call, index)) {
+    if (call.state.request.policy.retry && sendExtra(call, index, SendReason::Retry) == ExtraResult::Sent) {
         return;
     }
     const auto notHeld = shard.notHeld;
@@ -439,13 +420,8 @@
         return;
     }
     for (auto i = std::uint32_t{0}; i < state.shards.size(); ++i) {
-        if (state.over || now < state.shards[i].hedgeAt) {
-            continue;
-        }
-        if (state.shards[i].openAttempts > 0) {
+        if (now >= state.shards[i].hedgeAt) {
             hedgeShard(call, i);
-        } else {
-            goOn(call, i);
         }
     }
 }
