Count costs by incarnation, so that the sum stays right over replaced hosts

Cause: deltas are wrong for good when one is lost or repeated, and totals by address hide a predecessor. Counters are cumulative per incarnation and merged by maximum; three peers hold each incarnation's last report for 24 h, bounded in rows.

--- /dev/null
+++ b/packages/costs/src/cost_archive.cpp
@@ -0,0 +1,107 @@
+#include "tamarackspan/costs/cost_archive.h"
+
+#include "tamarackspan/base/random.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace tamarackspan::costs {
+
+namespace {
+
+/// Merges one row; returns true if it told anything new.
+auto takeRow(CostArchive &archive, HeldReport &held, const CostKey &key, const CostCounters &counters) -> bool
+{
+    const auto place = held.table.find(key);
+    if (place != held.table.end()) {
+        const auto merged = archive.takesMaximum ? maximumOf(place->second, counters) : sumOf(place->second, counters);
+        return std::exchange(place->second, merged) != merged;
+    }
+    if (held.table.size() >= archive.limits.rowsPerReport) {
+        ++archive.droppedRows;
+        return false;
+    }
+    held.table.emplace(key, counters);
+    ++archive.rows;
+    return true;
+}
+
+auto forget(CostArchive &archive, std::map<base::Incarnation, HeldReport>::iterator place) -> std::map<base::Incarnation, HeldReport>::iterator
+{
+    archive.rows -= place->second.table.size();
+    return archive.reports.erase(place);
+}
+
+auto forgetOldestBeyondLimit(CostArchive &archive) -> void
+{
+    while (archive.rows > archive.limits.rows) {
+        const auto oldest = std::min_element(archive.reports.begin(), archive.reports.end(), [](const auto &left, const auto &right) {
+            return left.second.madeAt < right.second.madeAt;
+        });
+        forget(archive, oldest);
+        ++archive.forgotten;
+    }
+}
+
+} // namespace
+
+auto takeReport(CostArchive &archive, const CostReport &report, absl::Time now) -> void
+{
+    const auto age = std::max(report.age, absl::ZeroDuration());
+    if (age >= archive.limits.retention || report.table.empty()) {
+        return;
+    }
+    auto &held = archive.reports.try_emplace(report.incarnation, HeldReport{now - age, {}}).first->second;
+    auto grew = false;
+    for (const auto &[key, counters] : report.table) {
+        grew = takeRow(archive, held, key, counters) || grew;
+    }
+    if (grew) {
+        held.madeAt = std::max(held.madeAt, now - age);
+    }
+    forgetOldestBeyondLimit(archive);
+}
+
+auto expireReports(CostArchive &archive, absl::Time now) -> void
+{
+    for (auto place = archive.reports.begin(); place != archive.reports.end();) {
+        const auto ended = now - place->second.madeAt >= archive.limits.retention;
+        place = ended ? forget(archive, place) : std::next(place);
+    }
+}
+
+auto heldReports(const CostArchive &archive, absl::Time now) -> std::vector<CostReport>
+{
+    auto reports = std::vector<CostReport>{};
+    for (const auto &[incarnation, held] : archive.reports) {
+        reports.push_back({incarnation, now - held.madeAt, held.table});
+    }
+    return reports;
+}
+
+auto chooseHolders(base::Incarnation incarnation, const std::vector<base::HostId> &hosts) -> std::vector<base::HostId>
+{
+    auto scored = std::vector<std::pair<std::uint64_t, base::HostId>>{};
+    for (const auto &host : hosts) {
+        scored.emplace_back(base::mixBits(incarnation.get() ^ base::stableHash(host.get().data(), host.get().size())), host);
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    auto holders = std::vector<base::HostId>{};
+    for (auto i = std::size_t{0}; i < std::min(reportHolders, scored.size()); ++i) {
+        holders.push_back(scored[i].second);
+    }
+    return holders;
+}
+
+auto reportsFor(const CostArchive &archive, const base::HostId &host, const std::vector<base::HostId> &hosts, absl::Time now) -> std::vector<CostReport>
+{
+    auto reports = heldReports(archive, now);
+    std::erase_if(reports, [&host, &hosts](const CostReport &report) {
+        const auto holders = chooseHolders(report.incarnation, hosts);
+        return std::find(holders.begin(), holders.end(), host) == holders.end();
+    });
+    return reports;
+}
+
+} // namespace tamarackspan::costs
