--- a/packages/daemon/src/leaf_http.cpp
+++ b/packages/daemon/src/leaf_http.cpp
@@ -159,7 +159,9 @@
     reply.held = heldVersions(response);
     reply.leafDraining = textOf(response, "Draining") == "true";
     const auto name = textOf(response, "Outcome");
-    const auto *known = std::find_if(namedOutcomes.begin(), namedOutcomes.end(), [&](const NamedOutcome &candidate) { return candidate.name == name; });
+    const auto *known = std::find_if(namedOutcomes.begin(), namedOutcomes.end(), [&](const NamedOutcome &candidate) {
+        return candidate.name == name;
+    });
     if (known == namedOutcomes.end()) {
         reply.run = RunState::MayHaveRun;
         reply.reason = "the leaf named no known outcome";
--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -83,12 +83,12 @@
 };
 
 LeafOwner::LeafOwner(transport::EventLoop &loop, HostIdentity identity, const Lease &lease, Accounting &accounting)
-    : loop(loop)
-    , identity(std::move(identity))
-    , lease(lease)
-    , accounting(accounting)
-    , client(loop, http::ClientOptions())
-    , view(std::make_shared<const ControlView>())
+    : loop(loop),
+      identity(std::move(identity)),
+      lease(lease),
+      accounting(accounting),
+      client(loop, http::ClientOptions()),
+      view(std::make_shared<const ControlView>())
 {
     this->scheduleRefresh();
 }
@@ -239,8 +239,9 @@
         return;
     }
     auto request = leafRequest(record.leaf, record.queue.share.connections, known->second.work, now, record.queue.policy.slotGrace);
-    known->second.request =
-        this->client.send(std::move(request), [this, &record, id](const http::Response &response) { this->onResponse(record, id, response); });
+    known->second.request = this->client.send(std::move(request), [this, &record, id](const http::Response &response) {
+        this->onResponse(record, id, response);
+    });
 }
 
 auto LeafOwner::reject(routing::QueueRequestId id, routing::QueueRejection why) -> void
--- a/packages/daemon/src/query_runner.cpp
+++ b/packages/daemon/src/query_runner.cpp
@@ -60,14 +60,14 @@
 
 QueryRunner::QueryRunner(transport::EventLoop &loop, HostIdentity identity, transport::PeerLinks &links, LeafDispatcher leafs, Accounting &accounting,
                          std::uint64_t firstQuery)
-    : loop(loop)
-    , identity(std::move(identity))
-    , links(links)
-    , leafs(std::move(leafs))
-    , accounting(accounting)
-    , lastQuery(firstQuery)
-    , random(this->identity.incarnation.get() ^ firstQuery)
-    , view(std::make_shared<const ControlView>())
+    : loop(loop),
+      identity(std::move(identity)),
+      links(links),
+      leafs(std::move(leafs)),
+      accounting(accounting),
+      lastQuery(firstQuery),
+      random(this->identity.incarnation.get() ^ firstQuery),
+      view(std::make_shared<const ControlView>())
 {
 }
 
@@ -128,8 +128,11 @@
     running->owners = entry->second.owners;
     running->ownerDraw = this->random.next();
     this->queries.emplace(running->number, running);
-    running->caller.responder->onCallerLeft(
-        [this, number = running->number] { this->loop.post([this, number] { this->onCallerLeft(number); }); });
+    running->caller.responder->onCallerLeft([this, number = running->number] {
+        this->loop.post([this, number] {
+            this->onCallerLeft(number);
+        });
+    });
 
     auto request = query::QueryRequest();
     request.view = running->service->view;
@@ -179,7 +182,9 @@
             candidates.push_back(owner.host);
         }
     }
-    std::stable_partition(candidates.begin(), candidates.end(), [this](const base::HostId &host) { return !this->links.isDraining(host); });
+    std::stable_partition(candidates.begin(), candidates.end(), [this](const base::HostId &host) {
+        return !this->links.isDraining(host);
+    });
     for (const auto &host : candidates) {
         if (host == this->identity.host) {
             this->sendLocal(query, attempt);
@@ -216,7 +221,9 @@
     work.body = query->caller.body;
     // Posted, since the machine is still handing out actions.
     work.reply = [this, number = query->number, id = attempt.attempt, shard = attempt.shard](const LeafWorkReply &reply) {
-        this->loop.post([this, number, id, shard, reply] { this->deliver(number, id, shard, reply); });
+        this->loop.post([this, number, id, shard, reply] {
+            this->deliver(number, id, shard, reply);
+        });
     };
     query->places[attempt.attempt.get()].local = this->leafs.submit(std::move(work));
 }
@@ -359,7 +366,9 @@
     }
     this->loop.cancelTimer(query->timer);
     query->timerAt = due;
-    query->timer = this->loop.runAt(due, [this, number = query->number] { this->onTimer(number); });
+    query->timer = this->loop.runAt(due, [this, number = query->number] {
+        this->onTimer(number);
+    });
 }
 
 auto QueryRunner::onTimer(std::uint64_t number) -> void
--- /dev/null
+++ b/packages/testkit/include/tamarackspan/testkit/fleet.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "tamarackspan/testkit/child_process.h"
+#include "tamarackspan/testkit/http_client.h"
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "nlohmann/json.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::testkit {
+
+/// The programs that a fleet runs.
+struct FleetPrograms
+{
+    std::string daemon;
+    std::string leafStandIn;
+    std::string platformStandIn;
+};
+
+/// One host of the system.
+struct HostOptions
+{
+    std::string dataCentre = "a";
+    std::vector<std::string> roles = {"entry", "owner"};
+    std::uint32_t trafficThreads = 1;
+    /// Addresses of the platform; the platform stand-in's if not set.
+    std::optional<std::vector<std::string>> platform;
+    /// Inner addresses of the peers, such as those of relays; those of all other hosts of the fleet if not set.
+    std::optional<std::vector<std::string>> peers;
+    /// Lines of the settings file's [timing] table, such as "lease_ms = 500".
+    std::vector<std::string> timing;
+    /// Further arguments of the daemon, such as "--set" and "key=value".
+    std::vector<std::string> arguments;
+};
+
+/// The addresses of one host, as "127.0.0.1:PORT".
+struct HostAddresses
+{
+    std::string inner;
+    std::string caller;
+    std::string admin;
+
+    friend auto operator==(const HostAddresses &, const HostAddresses &) -> bool = default;
+};
+
+/// Returns a port on 127.0.0.1 that was free a moment ago, different from those returned to this process before.
+[[nodiscard]] auto freePort() -> std::uint16_t;
+
+/// A platform stand-in, leaf stand-ins and hosts of the system in processes of their own, with their files in a temporary folder. Everything is killed, reaped
+/// and removed when the object goes away; the folder stays if the environment variable TAMARACKSPAN_KEEP is set. Not for more than one thread at once.
+class Fleet
+{
+public:
+    /// Starts the platform stand-in without any value. Stops the process if it doesn't start.
+    explicit Fleet(FleetPrograms programs);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    auto operator=(const Fleet &) -> Fleet & = delete;
+
+    [[nodiscard]] auto folder() const -> const std::string &;
+
+    /// Starts one process with these leafs, each with the keys of `leafstandin --leaf`, and returns their ports in the same order.
+    [[nodiscard]] auto startLeafs(const std::vector<nlohmann::json> &leafs) -> absl::StatusOr<std::vector<std::uint16_t>>;
+
+    /// Changes the behaviour of a leaf that was started with this id.
+    [[nodiscard]] auto controlLeaf(const std::string &leaf, const nlohmann::json &change) -> absl::Status;
+
+    [[nodiscard]] auto platformAddress() const -> std::string;
+
+    /// Publishes a value at the platform stand-in.
+    [[nodiscard]] auto publish(const std::string &key, const std::string &value) -> absl::Status;
+
+    /// Sends a change to the platform stand-in's control port.
+    [[nodiscard]] auto controlPlatform(const nlohmann::json &change) -> absl::Status;
+
+    /// Returns the platform stand-in's counts.
+    [[nodiscard]] auto platformStatistics() -> absl::StatusOr<nlohmann::json>;
+
+    /// Chooses the addresses of a further host and returns its index; it isn't started yet.
+    auto addHost(HostOptions options) -> std::size_t;
+
+    [[nodiscard]] auto addresses(std::size_t host) const -> const HostAddresses &;
+
+    /// Writes the host's settings and starts it, again if it ran before. An earlier process of it is killed.
+    auto startHost(std::size_t host) -> void;
+
+    /// Waits until `GET /ready` on the host's admin address answers 200. The error has the host's output.
+    [[nodiscard]] auto waitReady(std::size_t host, absl::Duration timeout) -> absl::Status;
+
+    /// Starts every host that was added and waits until all are ready.
+    [[nodiscard]] auto startAll(absl::Duration timeout) -> absl::Status;
+
+    /// The process of a started host.
+    [[nodiscard]] auto process(std::size_t host) -> ChildProcess &;
+
+    /// Returns what all leafs wrote down so far.
+    [[nodiscard]] auto leafHistory() const -> std::vector<nlohmann::json>;
+
+private:
+    struct Host;
+
+    [[nodiscard]] auto settingsOf(const Host &host) const -> std::string;
+
+    FleetPrograms programs;
+    std::string directory;
+    std::unique_ptr<ChildProcess> platform;
+    std::string platformListens;
+    std::string platformControl;
+    std::vector<std::unique_ptr<ChildProcess>> leafProcesses;
+    std::vector<std::string> leafHistories;
+    std::map<std::string, std::string> leafControls;
+    std::vector<std::unique_ptr<Host>> hosts;
+};
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/src/history_checker.cpp
@@ -0,0 +1,326 @@
+#include "tamarackspan/testkit/history_checker.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace tamarackspan::testkit {
+
+namespace {
+
+using Json = nlohmann::json;
+using Records = std::vector<Json>;
+
+constexpr auto wellFormed = "well-formed";
+constexpr auto oneSnapshot = "one-snapshot";
+constexpr auto trueCoverage = "true-coverage";
+constexpr auto wholeAnswer = "whole-answer";
+constexpr auto ownAnswer = "own-answer";
+constexpr auto noDuplicates = "no-duplicates";
+constexpr auto notRun = "not-run";
+constexpr auto atMostOnce = "at-most-once";
+constexpr auto leavingLeaf = "leaving-leaf";
+constexpr auto slotCap = "slot-cap";
+constexpr auto connectionCap = "connection-cap";
+constexpr auto costConservation = "cost-conservation";
+
+/// The histories sorted by what they are, and the report so far.
+class Checker
+{
+public:
+    explicit Checker(const CheckerOptions &options)
+        : options(options)
+    {
+        for (const auto *rule : {wellFormed, oneSnapshot, trueCoverage, wholeAnswer, ownAnswer, noDuplicates, notRun, atMostOnce, leavingLeaf, slotCap,
+                                 connectionCap, costConservation}) {
+            this->report.rules.push_back({.rule = rule, .judged = 0, .violations = 0});
+        }
+    }
+
+    /// Sorts the record in; false if it isn't one of a history.
+    auto add(const Json &record) -> void
+    {
+        const auto type = record.value("type", "");
+        if (type == "call") {
+            this->calls.push_back(record);
+        } else if (type == "leaf") {
+            this->runsByMarker[record.at("marker").get<std::string>()].push_back(record);
+            this->requests.push_back(record);
+        } else if (type == "leaving" || type == "returning") {
+            this->leavings[record.at("leaf").get<std::string>()][record.at("at").get<std::int64_t>()] = type == "leaving";
+        } else if (type == "charge") {
+            this->charged[record.at("customer").get<std::string>()] += record.at("micros").get<double>();
+        } else {
+            this->violate(wellFormed, absl::StrCat("unknown type in ", record.dump()));
+        }
+    }
+
+    /// Judges one record and counts a missing member as a violation.
+    template<typename Judge>
+    auto guarded(const Json &record, Judge judge) -> void
+    {
+        this->judged(wellFormed);
+        try {
+            judge(record);
+        } catch (const Json::exception &error) {
+            this->violate(wellFormed, absl::StrCat(error.what(), " in ", record.dump()));
+        }
+    }
+
+    auto judgeAll() -> void
+    {
+        for (const auto &call : this->calls) {
+            this->guarded(call, [this](const Json &record) {
+                this->judgeCall(record);
+            });
+        }
+        for (const auto &request : this->requests) {
+            this->guarded(request, [this](const Json &record) {
+                this->judgeLeafRequest(record);
+            });
+        }
+        this->judgeTickets();
+        this->judgeCosts();
+    }
+
+    CheckerReport report;
+
+private:
+    auto count(const char *rule) -> RuleCount &
+    {
+        return *std::find_if(this->report.rules.begin(), this->report.rules.end(), [rule](const RuleCount &entry) {
+            return entry.rule == rule;
+        });
+    }
+
+    auto judged(const char *rule) -> void
+    {
+        ++this->count(rule).judged;
+    }
+
+    auto violate(const char *rule, std::string evidence) -> void
+    {
+        ++this->count(rule).violations;
+        this->report.violations.push_back({.rule = rule, .evidence = std::move(evidence)});
+    }
+
+    auto expect(const char *rule, bool holds, const std::string &evidence) -> void
+    {
+        this->judged(rule);
+        if (!holds) {
+            this->violate(rule, evidence);
+        }
+    }
+
+    auto judgeCall(const Json &call) -> void
+    {
+        const auto isQuery = call.at("kind") == "query";
+        if (call.at("run") == "not-run") {
+            this->judgeNotRun(call);
+        }
+        if (call.at("status") == 200 && isQuery) {
+            this->judgeRows(call);
+            this->judgeCoverage(call);
+        } else if (call.at("status") == 200) {
+            const auto &answer = call.at("answer");
+            this->expect(ownAnswer, holdsMarker(answer, call.at("marker").get<std::string>()), absl::StrCat("foreign answer ", call.dump()));
+        }
+    }
+
+    /// True if any object in the answer has this marker and none has another.
+    static auto holdsMarker(const Json &answer, const std::string &marker) -> bool
+    {
+        auto own = false;
+        const auto flat = answer.flatten();
+        for (const auto &[path, value] : flat.items()) {
+            if (path.size() >= 7 && path.substr(path.size() - 7) == "/marker") {
+                if (value != marker) {
+                    return false;
+                }
+                own = true;
+            }
+        }
+        return own;
+    }
+
+    auto judgeRows(const Json &call) -> void
+    {
+        const auto &answer = call.at("answer");
+        const auto &snapshot = answer.at("snapshot");
+        auto keys = std::set<std::string>();
+        for (const auto &row : answer.at("rows")) {
+            const auto evidence = absl::StrCat("row ", row.dump(), " in the answer to ", call.at("marker").dump(), " labelled ", snapshot.dump());
+            this->expect(oneSnapshot, row.at("version") == snapshot.at("index_version") && row.at("map") == snapshot.at("map_generation"), evidence);
+            this->expect(ownAnswer, row.at("marker") == call.at("marker"), evidence);
+            this->expect(noDuplicates, keys.insert(row.at("key").get<std::string>()).second, evidence);
+        }
+    }
+
+    auto judgeCoverage(const Json &call) -> void
+    {
+        const auto &answer = call.at("answer");
+        const auto &coverage = answer.at("coverage");
+        const auto shards = coverage.at("shards").get<std::uint64_t>();
+        const auto missing = coverage.at("missing").get<std::set<std::uint64_t>>();
+        const auto marker = call.at("marker").get<std::string>();
+        const auto label = absl::StrCat(" in the answer to ", marker, " labelled ", coverage.dump());
+        this->expect(trueCoverage, coverage.at("covered").get<std::uint64_t>() + missing.size() == shards,
+                     absl::StrCat("covered and missing don't add up", label));
+        const auto whole = this->completeShards(marker, answer.at("snapshot"));
+        auto rowsByShard = std::map<std::uint64_t, std::uint64_t>();
+        for (const auto &row : answer.at("rows")) {
+            const auto shard = row.at("shard").get<std::uint64_t>();
+            ++rowsByShard[shard];
+            this->expect(trueCoverage, !missing.contains(shard) && !row.value("partial", false), absl::StrCat("row ", row.dump(), label));
+        }
+        // Each shard that isn't missing was answered whole, from the snapshot, by a leaf that ran this very request.
+        auto covered = std::uint64_t{0};
+        for (const auto &[shard, rows] : whole) {
+            if (missing.contains(shard)) {
+                continue;
+            }
+            ++covered;
+            const auto cut = this->options.maxRows != 0 && answer.at("rows").size() >= this->options.maxRows;
+            this->expect(wholeAnswer, cut || rowsByShard[shard] == rows,
+                         absl::StrCat("shard ", shard, " has ", rowsByShard[shard], " of ", rows, " rows", label));
+        }
+        this->expect(trueCoverage, covered == coverage.at("covered").get<std::uint64_t>(), absl::StrCat("leafs answered for ", covered, " shards", label));
+    }
+
+    /// Returns the rows of each shard for which a leaf gave a whole answer to this request from this snapshot.
+    auto completeShards(const std::string &marker, const Json &snapshot) -> std::map<std::uint64_t, std::uint64_t>
+    {
+        auto shards = std::map<std::uint64_t, std::uint64_t>();
+        for (const auto &run : this->runsByMarker[marker]) {
+            if (run.at("outcome") == "complete" && run.at("version") == snapshot.at("index_version") && run.at("map") == snapshot.at("map_generation")) {
+                shards[run.at("shard").get<std::uint64_t>()] = run.at("rows").get<std::uint64_t>();
+            }
+        }
+        return shards;
+    }
+
+    /// A run belongs to the refused call unless another call with the same marker, begun before the run, admits that it may have run.
+    auto judgeNotRun(const Json &call) -> void
+    {
+        const auto marker = call.at("marker").get<std::string>();
+        auto evidence = std::string();
+        for (const auto &run : this->runsByMarker[marker]) {
+            if (run.at("ran") == true && !this->admitted(marker, run.at("started").get<std::int64_t>())) {
+                evidence = absl::StrCat("refused as not run: ", call.dump(), " but ran: ", run.dump());
+            }
+        }
+        this->expect(notRun, evidence.empty(), evidence);
+    }
+
+    auto admitted(const std::string &marker, std::int64_t runStarted) const -> bool
+    {
+        return std::any_of(this->calls.begin(), this->calls.end(), [&](const Json &call) {
+            return call.at("marker") == marker && call.at("run") != "not-run" && call.at("started").get<std::int64_t>() <= runStarted;
+        });
+    }
+
+    auto judgeLeafRequest(const Json &request) -> void
+    {
+        const auto leaf = request.at("leaf").get<std::string>();
+        const auto overSlots = request.at("slots") > request.at("slots_cap") || request.at("violation") == "slots";
+        this->expect(slotCap, !overSlots, request.dump());
+        const auto cap = request.at("connections_cap").get<std::uint64_t>();
+        const auto peak = request.at("connections_peak").get<std::uint64_t>();
+        if (cap != 0 && !this->connectionPeaks.contains({leaf, peak})) {
+            this->connectionPeaks.insert({leaf, peak});
+            this->expect(connectionCap, peak <= cap, absl::StrCat("leaf ", leaf, " had ", peak, " connections, cap ", cap));
+        }
+        this->judgeLeaving(request, leaf);
+        const auto customer = request.at("customer").get<std::string>();
+        this->measured[customer] += request.at("cost").get<double>();
+        if (request.at("ran") == true && request.at("ticket") != "") {
+            this->runsByTicket[request.at("ticket").get<std::string>()].push_back(request);
+        }
+    }
+
+    auto judgeLeaving(const Json &request, const std::string &leaf) -> void
+    {
+        const auto arrived = request.at("arrived").get<std::int64_t>();
+        const auto &changes = this->leavings[leaf];
+        auto last = changes.upper_bound(arrived);
+        if (last == changes.begin()) {
+            return;
+        }
+        --last;
+        if (last->second) {
+            const auto late = absl::Microseconds(arrived - last->first);
+            this->expect(leavingLeaf, late <= this->options.leavingGrace,
+                         absl::StrCat("new work ", absl::FormatDuration(late), " after leaving: ", request.dump()));
+        }
+    }
+
+    auto judgeTickets() -> void
+    {
+        for (const auto &[ticket, runs] : this->runsByTicket) {
+            auto evidence = absl::StrCat("ticket ", ticket, " ran ", runs.size(), " times:");
+            for (const auto &run : runs) {
+                absl::StrAppend(&evidence, " ", run.dump());
+            }
+            this->expect(atMostOnce, runs.size() == 1, evidence);
+        }
+    }
+
+    auto judgeCosts() -> void
+    {
+        if (this->charged.empty()) {
+            return;
+        }
+        for (const auto &[customer, micros] : this->measured) {
+            this->charged.try_emplace(customer, 0);
+        }
+        for (const auto &[customer, micros] : this->charged) {
+            const auto leafMicros = this->measured[customer];
+            this->expect(costConservation, std::abs(micros - leafMicros) <= this->options.costTolerance * leafMicros,
+                         absl::StrCat("customer ", customer, " was charged ", micros, " us, the leafs measured ", leafMicros, " us"));
+        }
+    }
+
+    const CheckerOptions &options;
+    Records calls;
+    Records requests;
+    std::map<std::string, Records> runsByMarker;
+    std::map<std::string, Records> runsByTicket;
+    /// For each leaf, whether it was leaving from a time on.
+    std::map<std::string, std::map<std::int64_t, bool>> leavings;
+    std::map<std::string, double> charged;
+    std::map<std::string, double> measured;
+    std::set<std::pair<std::string, std::uint64_t>> connectionPeaks;
+};
+
+} // namespace
+
+auto checkHistory(const std::vector<Json> &records, const CheckerOptions &options) -> CheckerReport
+{
+    auto checker = Checker(options);
+    for (const auto &record : records) {
+        checker.guarded(record, [&checker](const Json &sorted) {
+            checker.add(sorted);
+        });
+    }
+    checker.judgeAll();
+    return std::move(checker.report);
+}
+
+auto toString(const CheckerReport &report) -> std::string
+{
+    auto text = std::string();
+    for (const auto &rule : report.rules) {
+        absl::StrAppend(&text, rule.rule, ": ", rule.judged == 0 ? "nothing to judge" : absl::StrCat(rule.judged, " judged, ", rule.violations, " violations"),
+                        "\n");
+    }
+    for (const auto &violation : report.violations) {
+        absl::StrAppend(&text, "VIOLATION ", violation.rule, ": ", violation.evidence, "\n");
+    }
+    return text;
+}
+
+} // namespace tamarackspan::testkit
--- /dev/null
+++ b/packages/testkit/src/json_check.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "nlohmann/json.hpp"
+
+#include <cstdint>
+
+namespace tamarackspan::testkit::impl {
+
+/// True if the value is a whole number that isn't negative, whichever way it was made.
+[[nodiscard]] inline auto isWholeNumber(const nlohmann::json &value) -> bool
+{
+    return value.is_number_unsigned() || (value.is_number_integer() && value.get<std::int64_t>() >= 0);
+}
+
+} // namespace tamarackspan::testkit::impl
--- a/packages/testkit/src/leaf_stand_in.cpp
+++ b/packages/testkit/src/leaf_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "tamarackspan/testkit/leaf_stand_in.h"
 
+#include "json_check.h"
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
@@ -39,7 +41,7 @@
     }
     auto options = HttpServerOptions();
     for (const auto *key : {"port", "connections"}) {
-        if (settings.contains(key) && !settings[key].is_number_unsigned()) {
+        if (settings.contains(key) && !impl::isWholeNumber(settings[key])) {
             return absl::InvalidArgumentError(absl::StrCat(key, ": expected a whole number"));
         }
     }
--- a/packages/testkit/src/platform_server.cpp
+++ b/packages/testkit/src/platform_server.cpp
@@ -1,5 +1,7 @@
 #include "tamarackspan/testkit/platform_server.h"
 
+#include "json_check.h"
+
 #include "tamarackspan/base/clock.h"
 
 #include "absl/strings/match.h"
@@ -195,8 +197,8 @@
         return absl::InvalidArgumentError("expected a JSON object");
     }
     for (const auto &[key, value] : change.items()) {
-        const auto wellTyped = (key == "down" && value.is_boolean()) || (key == "stale" && (value.is_null() || value.is_number_unsigned()))
-            || (key == "slow_ms" && value.is_number_unsigned());
+        const auto wellTyped = (key == "down" && value.is_boolean()) || (key == "stale" && (value.is_null() || impl::isWholeNumber(value)))
+            || (key == "slow_ms" && impl::isWholeNumber(value));
         if (!wellTyped) {
             return absl::InvalidArgumentError(absl::StrCat(key, ": unknown key or wrong type"));
         }
