--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -181,26 +181,25 @@
     this->perform(record, std::move(actions));
 }
 
-auto LeafOwner::submit(LeafWork work) -> LeafWorkId
+auto LeafOwner::submit(LeafWorkId number, LeafWork work) -> void
 {
     const auto now = base::monotonicNow();
     auto *record = this->recordOf(work.service, work.leaf);
     if (record == nullptr || !this->lease.isInForce(now)) {
         work.reply(rejection(routing::QueueRejection::NotOwner));
-        return 0;
+        return;
     }
-    const auto id = routing::QueueRequestId(++this->lastWork);
+    const auto id = routing::QueueRequestId(number);
     const auto request = routing::QueueRequest{id, work.priority, work.deadline};
     this->works.emplace(id, WorkState{std::move(work), record, 0});
     auto actions = std::vector<routing::QueueAction>();
     routing::submit(record->queue, request, now, actions);
     this->perform(*record, std::move(actions));
-    return id.get();
 }
 
-auto LeafOwner::cancel(LeafWorkId id) -> void
+auto LeafOwner::cancel(LeafWorkId number) -> void
 {
-    const auto known = this->works.find(routing::QueueRequestId(id));
+    const auto known = this->works.find(routing::QueueRequestId(number));
     if (known == this->works.end()) {
         return;
     }
