--- a/packages/testkit/src/history_checker.cpp
+++ b/packages/testkit/src/history_checker.cpp
@@ -216,7 +216,7 @@
         this->expect(notRun, evidence.empty(), evidence);
     }
 
-    auto admitted(const std::string &marker, std::int64_t runStarted) const -> bool
+    [[nodiscard]] auto admitted(const std::string &marker, std::int64_t runStarted) const -> bool
     {
         return std::any_of(this->calls.begin(), this->calls.end(), [&](const Json &call) {
             return call.at("marker") == marker && call.at("run") != "not-run" && call.at("started").get<std::int64_t>() <= runStarted;
@@ -237,8 +237,8 @@
         this->judgeLeaving(request, leaf);
         const auto customer = request.at("customer").get<std::string>();
         this->measured[customer] += request.at("cost").get<double>();
-        if (request.at("ran") == true && request.at("ticket") != "") {
-            this->runsByTicket[request.at("ticket").get<std::string>()].push_back(request);
+        if (const auto ticket = request.at("ticket").get<std::string>(); request.at("ran") == true && !ticket.empty()) {
+            this->runsByTicket[ticket].push_back(request);
         }
     }
 
