Never send a request twice, never pass a connection cap

Cause: libcurl sends a POST again by itself when a reused connection closes before the first reply byte. Also, a connection closed at the client is still open at the server until that has noticed. Change: a request that is not to be repeated is stopped when libcurl is about to open a connection or to send for it a second time. A closed connection counts until the server has closed its side, while late replies are read and dropped.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -33,6 +33,12 @@
     });
 }
 
+/// Tells whether libcurl is about to send a request a second time that is not to be repeated.
+auto isResend(const impl::Transfer &transfer) -> bool
+{
+    return transfer.request.reuse == Reuse::AtMostOnce && transfer.guarded && transfer.response.bytesMayHaveBeenSent;
+}
+
 /// The requests of one pool.
 struct Pool
 {
@@ -393,6 +399,10 @@
 {
     auto &transfer = *static_cast<impl::Transfer *>(user);
     auto &core = *static_cast<Core *>(transfer.owner);
+    if (isResend(transfer)) {
+        transfer.stop = impl::Stop::Resend;
+        return CURL_SOCKET_BAD;
+    }
     if (core.connections.counts(transfer.pool).open >= core.pools[transfer.pool].maxConnections) {
         transfer.stop = impl::Stop::NoRoom;
         return CURL_SOCKET_BAD;
@@ -414,7 +424,7 @@
 auto Client::Core::onRequestDue(void *user, char * /*remoteIp*/, char * /*localIp*/, int /*remotePort*/, int /*localPort*/) -> int
 {
     auto &transfer = *static_cast<impl::Transfer *>(user);
-    if (transfer.request.reuse == Reuse::AtMostOnce && transfer.guarded && transfer.response.bytesMayHaveBeenSent) {
+    if (isResend(transfer)) {
         transfer.stop = impl::Stop::Resend;
         return CURL_PREREQFUNC_ABORT;
     }
--- a/packages/http/src/connections.cpp
+++ b/packages/http/src/connections.cpp
@@ -4,6 +4,9 @@
 #include "tamarackspan/base/require.h"
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstddef>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -19,6 +22,7 @@
 constexpr auto keepAliveIdleSeconds = 5;
 constexpr auto keepAliveIntervalSeconds = 2;
 constexpr auto keepAliveProbes = 3;
+constexpr auto discardBytes = std::size_t{4096};
 constexpr auto closeEvents = std::uint32_t{EPOLLIN | EPOLLRDHUP} | std::uint32_t{EPOLLET};
 
 auto countsAsOpen(SocketState state) -> bool
@@ -31,7 +35,19 @@
     setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-/// Tells whether neither side has the connection open any longer.
+/// Discards what the server still sends on a connection that is shut down for sending, and tells whether the server has closed its side. Not reading it would
+/// make this side's system reset the connection at a late response, long before the server knows.
+auto discardToEnd(int fd) -> bool
+{
+    auto buffer = std::array<char, discardBytes>{};
+    auto count = recv(fd, buffer.data(), buffer.size(), 0);
+    while (count > 0) {
+        count = recv(fd, buffer.data(), buffer.size(), 0);
+    }
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Tells whether the server has closed its side of a connection that is shut down for both directions.
 auto closedOnBothSides(int fd) -> bool
 {
     auto info = tcp_info{};
@@ -42,6 +58,11 @@
     return info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_TIME_WAIT || info.tcpi_state == TCP_LAST_ACK || info.tcpi_state == TCP_CLOSING;
 }
 
+auto closedByServer(int fd, bool shutBoth) -> bool
+{
+    return shutBoth ? closedOnBothSides(fd) : discardToEnd(fd);
+}
+
 auto resetOnClose(int fd) -> void
 {
     const auto lingering = linger{.l_onoff = 1, .l_linger = 0};
@@ -112,15 +133,18 @@
 
 auto Connections::shutDown(int fd, Socket &socket) -> void
 {
-    ::shutdown(fd, SHUT_RDWR);
+    // An idle connection that libcurl still has is shut down for both directions, so that libcurl finds it closed.
+    socket.shutBoth = socket.state == SocketState::Retiring;
+    ::shutdown(fd, socket.shutBoth ? SHUT_RDWR : SHUT_WR);
     // The loop's watch is replaced rather than changed, since the edge may have passed.
     this->loop.watch(fd, closeEvents, [this, fd](std::uint32_t events) {
         this->onEvents(fd, events);
     });
     socket.watched = closeEvents;
-    socket.closeTimer = this->loop.runAt(closedOnBothSides(fd) ? absl::InfinitePast() : base::monotonicNow() + this->limits.closeConfirm, [this, fd] {
-        this->onConfirmOverdue(fd);
-    });
+    socket.closeTimer =
+        this->loop.runAt(closedByServer(fd, socket.shutBoth) ? absl::InfinitePast() : base::monotonicNow() + this->limits.closeConfirm, [this, fd] {
+            this->onConfirmOverdue(fd);
+        });
 }
 
 auto Connections::onEvents(int fd, std::uint32_t events) -> void
@@ -141,7 +165,7 @@
         break;
     case SocketState::Retiring:
     case SocketState::Closing:
-        if (closedOnBothSides(fd)) {
+        if (closedByServer(fd, socket.shutBoth)) {
             this->onServerClosed(fd);
         }
         break;
@@ -157,7 +181,7 @@
         return;
     }
     found->second.closeTimer = 0;
-    if (!closedOnBothSides(fd)) {
+    if (!closedByServer(fd, found->second.shutBoth)) {
         resetOnClose(fd);
     }
     this->onServerClosed(fd);
--- a/packages/http/src/connections.h
+++ b/packages/http/src/connections.h
@@ -95,6 +95,8 @@
         std::uint32_t wanted = 0;
         absl::Time lastUsed = absl::InfinitePast();
         transport::TimerId closeTimer = 0;
+        /// Shut down for both directions rather than for sending only.
+        bool shutBoth = false;
     };
 
     auto shutDown(int fd, Socket &socket) -> void;
