--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -7,6 +7,7 @@
 #include "tamarackspan/base/require.h"
 
 #include "absl/strings/numbers.h"
+#include "absl/time/clock.h"
 
 #include <array>
 #include <atomic>
@@ -29,7 +30,6 @@
 
 namespace {
 
-constexpr auto statusBadRequest = 400U;
 constexpr auto statusTooLarge = 413U;
 constexpr auto statusStopping = 503U;
 constexpr auto watchInterval = absl::Milliseconds(50);
@@ -42,6 +42,9 @@
 constexpr auto backstopTimeout = absl::Seconds(30);
 /// A body without a length is read no further than this many times the limit.
 constexpr auto discardFactor = std::size_t{4};
+/// States of a TCP connection as the system numbers them; the header that names them can't be included beside that of the longer tcp_info.
+constexpr auto tcpStateClose = 7;
+constexpr auto tcpStateCloseWait = 8;
 constexpr auto eventsPerWait = 64;
 
 /// A request that is coming in.
@@ -136,6 +139,14 @@
     return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_bytes_received > 0;
 }
 
+auto closedByCaller(int fd) -> bool
+{
+    auto info = tcp_info{};
+    auto size = socklen_t{sizeof(info)};
+    const auto known = getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return !known || info.tcpi_state == tcpStateCloseWait || info.tcpi_state == tcpStateClose;
+}
+
 auto setSocketOptions(int fd) -> void
 {
     const auto one = 1;
@@ -233,7 +244,7 @@
         MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr, onAccess, this, MHD_OPTION_LISTEN_SOCKET,
                          this->listener.fd, MHD_OPTION_NOTIFY_COMPLETED, onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, onConnection, this,
                          MHD_OPTION_URI_LOG_CALLBACK, onRequestLine, this, MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(this->options.maxConnections),
-                         MHD_OPTION_CONNECTION_TIMEOUT, backstop, MHD_OPTION_ARRAY, more.data(), MHD_OPTION_END);
+                         MHD_OPTION_CONNECTION_TIMEOUT, backstop, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, more.data(), MHD_OPTION_END);
     if (this->daemon == nullptr) {
         this->listener.error = "can't start the HTTP server on " + this->options.ip + ":" + std::to_string(this->listener.port);
     }
@@ -339,7 +350,7 @@
     delete static_cast<Incoming *>(*requestUser);
     *requestUser = nullptr;
     auto *context = contextOf(connection);
-    if (context != nullptr) {
+    if (context != nullptr && context->phase != impl::ConnectionPhase::Receiving) {
         context->enter(impl::ConnectionPhase::Idle, base::monotonicNow());
     }
 }
@@ -361,8 +372,8 @@
         return;
     }
     auto *context = static_cast<impl::ServerConnection *>(*socketUser);
-    const auto *status = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_HTTP_STATUS);
-    if (context->phase != impl::ConnectionPhase::Replying && status != nullptr && status->http_status == statusBadRequest) {
+    // libmicrohttpd answers malformed requests itself and tells nobody: it ends the connection amid a request that the caller hasn't given up.
+    if (context->phase == impl::ConnectionPhase::Receiving && !closedByCaller(context->fd)) {
         ++core.counters.malformed;
     }
     core.table.remove(context);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -1,18 +1,67 @@
+#include "raw_socket.h"
 #include "test_loop.h"
 
 #include "tamarackspan/http/server.h"
 
+#include "absl/time/clock.h"
+
+#include <atomic>
 #include <gtest/gtest.h>
+#include <mutex>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
 
 namespace {
 
 using namespace tamarackspan::http;
+using test::connectTo;
+using test::readMessage;
+using test::readToEnd;
 using test::requestTo;
+using test::sendAll;
 using test::TestLoop;
 
+using SharedRequest = std::shared_ptr<const ServerRequest>;
+
+/// Waits for what another thread brings about; the test's own timeout is the bound.
+auto await(const std::function<bool()> &condition) -> void
+{
+    while (!condition()) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+}
+
+auto answerOk(const SharedRequest & /*request*/, Responder responder) -> void
+{
+    responder.answer({.body = "ok"});
+}
+
+/// Keeps responders until the test answers them.
+struct Held
+{
+    std::mutex mutex;
+    std::vector<Responder> responders;
+
+    auto handler() -> Server::Handler
+    {
+        return [this](const SharedRequest &, Responder responder) {
+            const auto lock = std::lock_guard(this->mutex);
+            this->responders.push_back(std::move(responder));
+        };
+    }
+
+    auto count() -> std::size_t
+    {
+        const auto lock = std::lock_guard(this->mutex);
+        return this->responders.size();
+    }
+};
+
 TEST(Server, AnswersWithWhatTheHandlerSays)
 {
-    auto server = Server({}, [](const std::shared_ptr<const ServerRequest> &request, Responder responder) {
+    auto server = Server({}, [](const SharedRequest &request, Responder responder) {
         responder.answer(
             {.status = 201, .headers = {{"Seen", request->method + " " + request->path + " " + *findArgument(*request, "a")}}, .body = request->body});
     });
@@ -25,4 +74,188 @@
     EXPECT_EQ(*findHeader(response.headers, "seen"), "POST /x/y b c");
 }
 
+TEST(Server, TellsWhyItCantListen)
+{
+    auto server = Server({}, answerOk);
+    const auto taken = Server({.port = server.port()}, answerOk);
+    EXPECT_NE(taken.error().find("can't listen on 127.0.0.1:" + std::to_string(server.port())), std::string::npos);
+    EXPECT_EQ(taken.port(), 0);
+    EXPECT_EQ(Server({.ip = "localhost"}, answerOk).error(), "expected an IP address to listen on, found \"localhost\"");
+}
+
+TEST(Server, TakesAnswersFromOtherThreadsInAnyOrder)
+{
+    auto held = Held();
+    auto server = Server({.threads = 2}, held.handler());
+    auto loop = TestLoop();
+    auto responses = std::vector<std::future<Response>>();
+    for (auto i = 0; i < 4; ++i) {
+        responses.push_back(loop.send(requestTo(server.port(), "POST", "/", "x")));
+    }
+    await([&] {
+        return held.count() == 4;
+    });
+    auto threads = std::vector<std::thread>();
+    for (auto i = 4; i-- > 0;) {
+        threads.emplace_back([&held, i] {
+            held.responders[static_cast<std::size_t>(i)].answer({.body = "late"});
+            held.responders[static_cast<std::size_t>(i)].answer({.body = "twice"});
+        });
+    }
+    for (auto &response : responses) {
+        EXPECT_EQ(response.get().body, "late");
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+}
+
+TEST(Server, AnswersForAResponderThatIsDropped)
+{
+    auto server = Server({}, [](const SharedRequest &, const Responder &) {});
+    auto loop = TestLoop();
+    EXPECT_EQ(loop.exchange(requestTo(server.port(), "GET", "/")).status, 500);
+    EXPECT_EQ(server.counters().unanswered, 1U);
+}
+
+TEST(Server, RefusesBodiesThatAreTooLong)
+{
+    auto server = Server({.maxBodyBytes = 10}, answerOk);
+    auto loop = TestLoop();
+    EXPECT_EQ(loop.exchange(requestTo(server.port(), "POST", "/", std::string(11, 'x'))).status, 413);
+    EXPECT_EQ(loop.exchange(requestTo(server.port(), "POST", "/", std::string(10, 'x'))).status, 200);
+    const auto fd = connectTo(server.port());
+    sendAll(fd, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n8\r\n12345678\r\n0\r\n\r\n");
+    EXPECT_EQ(readToEnd(fd).substr(0, 12), "HTTP/1.1 413");
+    close(fd);
+    EXPECT_EQ(server.counters().tooLarge, 2U);
+    EXPECT_EQ(server.counters().requests, 1U);
+}
+
+TEST(Server, RefusesMalformedRequests)
+{
+    auto server = Server({}, answerOk);
+    const auto texts = std::vector<std::string>{
+        "GET / HTTP/1.1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: abc\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    };
+    for (const auto &text : texts) {
+        const auto fd = connectTo(server.port());
+        sendAll(fd, text);
+        EXPECT_EQ(readToEnd(fd).substr(0, 12), "HTTP/1.1 400") << text;
+        close(fd);
+    }
+    await([&] {
+        return server.counters().malformed == texts.size();
+    });
+    EXPECT_EQ(server.counters().requests, 0U);
+}
+
+TEST(Server, ClosesConnectionsWhoseRequestIsTooSlow)
+{
+    auto server = Server({.receiveTimeout = absl::Milliseconds(100)}, answerOk);
+    for (const auto *text : {"GET / HT", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"}) {
+        const auto fd = connectTo(server.port());
+        sendAll(fd, text);
+        EXPECT_EQ(readToEnd(fd), "");
+        close(fd);
+    }
+    EXPECT_EQ(server.counters().tooSlow, 2U);
+}
+
+TEST(Server, ClosesIdleConnections)
+{
+    auto server = Server({.idleTimeout = absl::Milliseconds(100)}, answerOk);
+    const auto fd = connectTo(server.port());
+    sendAll(fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(readToEnd(fd).substr(0, 12), "HTTP/1.1 200");
+    close(fd);
+    EXPECT_EQ(server.counters().tooSlow, 0U);
+}
+
+/// How a caller leaves before its answer.
+enum class Leaving {
+    Closes,
+    Resets,
+    ClosesWithMoreToRead,
+};
+
+class CallerLeft : public testing::TestWithParam<Leaving>
+{
+};
+
+TEST_P(CallerLeft, IsToldWhileTheRequestWaits)
+{
+    auto held = Held();
+    auto server = Server({}, held.handler());
+    const auto fd = connectTo(server.port());
+    sendAll(fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    await([&] {
+        return held.count() == 1;
+    });
+    auto left = std::atomic<int>(0);
+    held.responders[0].onCallerLeft([&left] {
+        ++left;
+    });
+    if (GetParam() == Leaving::ClosesWithMoreToRead) {
+        sendAll(fd, "GET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    if (GetParam() == Leaving::Resets) {
+        const auto now = linger{.l_onoff = 1, .l_linger = 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+    close(fd);
+    await([&] {
+        return left == 1;
+    });
+    held.responders[0].answer({.body = "to nobody"});
+    EXPECT_EQ(server.counters().callersLeft, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, CallerLeft, testing::Values(Leaving::Closes, Leaving::Resets, Leaving::ClosesWithMoreToRead));
+
+TEST(CallerLeft, IsToldWhenItLeftBeforeTheHandlerWasCalled)
+{
+    auto left = std::atomic<int>(0);
+    auto gone = std::atomic<bool>(false);
+    auto server = Server({}, [&](const SharedRequest &, Responder responder) {
+        await([&] {
+            return gone.load();
+        });
+        absl::SleepFor(absl::Milliseconds(20));
+        responder.onCallerLeft([&left] {
+            ++left;
+        });
+    });
+    const auto fd = connectTo(server.port());
+    sendAll(fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    close(fd);
+    gone = true;
+    await([&] {
+        return left == 1;
+    });
+}
+
+TEST(CallerLeft, IsNotToldAfterTheAnswer)
+{
+    auto held = Held();
+    auto server = Server({}, held.handler());
+    const auto fd = connectTo(server.port());
+    sendAll(fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    await([&] {
+        return held.count() == 1;
+    });
+    auto left = std::atomic<int>(0);
+    held.responders[0].onCallerLeft([&left] {
+        ++left;
+    });
+    held.responders[0].answer({.body = "ok"});
+    EXPECT_NE(readMessage(fd), "");
+    close(fd);
+    server.stop();
+    EXPECT_EQ(left, 0);
+    EXPECT_EQ(server.counters().callersLeft, 0U);
+}
+
 } // namespace
