--- a/packages/execution/include/tamarackspan/execution/ticket_book.h
+++ b/packages/execution/include/tamarackspan/execution/ticket_book.h
@@ -47,7 +47,7 @@
     absl::Duration outcomeRetention = absl::Minutes(5);
     /// The longest body that is kept with an outcome.
     std::size_t maxBodyBytes = std::size_t{16} * 1024;
-    Safeguards safeguards;
+    Safeguards safeguards{};
 
     friend auto operator==(const TicketBookOptions &, const TicketBookOptions &) -> bool = default;
 };
