Charge every leaf request by customer, operation and kind; choose owners by requests in flight

Cause: costs were counted without telling hedges from retries, and one of a leaf's owners could be busy while the other was idle.

--- a/packages/costs/include/tamarackspan/costs/cost_ledger.h
+++ b/packages/costs/include/tamarackspan/costs/cost_ledger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace tamarackspan::costs {
 
@@ -17,6 +18,13 @@
 
     friend auto operator==(const CostKey &, const CostKey &) -> bool = default;
     friend auto operator<=>(const CostKey &, const CostKey &) = default;
+
+    /// Makes keys usable in Abseil's hash containers.
+    template<typename H>
+    friend auto AbslHashValue(H state, const CostKey &key) -> H
+    {
+        return H::combine(std::move(state), key.customer, key.operation);
+    }
 };
 
 /// What was spent. Each counter only goes up while a process runs, and stays at the greatest value rather than wrap around.
--- a/packages/daemon/include/tamarackspan/daemon/accounting.h
+++ b/packages/daemon/include/tamarackspan/daemon/accounting.h
@@ -1,72 +1,71 @@
 #pragma once
 
 #include "tamarackspan/base/ids.h"
+#include "tamarackspan/costs/cost_ledger.h"
 #include "tamarackspan/daemon/caller_reply.h"
+#include "tamarackspan/daemon/leaf_work.h"
+#include "tamarackspan/metrics/metric_registry.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
 #include <cstdint>
-#include <map>
 #include <mutex>
 #include <string>
-#include <utility>
+#include <string_view>
 
 namespace tamarackspan::daemon {
 
-/// Who a cost is charged to.
-struct CostAccount
-{
-    base::CustomerName customer;
-    base::OperationName operation;
-
-    friend auto operator==(const CostAccount &, const CostAccount &) -> bool = default;
-    friend auto operator<=>(const CostAccount &, const CostAccount &) = default;
-
-    /// Makes accounts usable as keys of Abseil's hash containers.
-    template<typename H>
-    friend auto AbslHashValue(H state, const CostAccount &account) -> H
-    {
-        return H::combine(std::move(state), account.customer, account.operation);
-    }
-};
-
-/// Why a leaf request was sent.
-enum class LeafRequestKind {
-    First,
-    Extra,
-};
-
 /// Takes down what is to be charged and measured. Callable from any thread.
 class Accounting
 {
 public:
+    explicit Accounting(base::Incarnation incarnation);
+
     /// Charges one request that a leaf got, with the processor time that the leaf reported.
-    auto chargeLeafRequest(const CostAccount &account, LeafRequestKind kind, bool cancelled, std::uint64_t costMicros) -> void;
+    auto chargeLeafRequest(const costs::CostKey &account, AttemptKind kind, bool cancelled, std::uint64_t costMicros) -> void;
+
+    /// Charges one admitted request of a caller.
+    auto chargeRequest(const costs::CostKey &account) -> void;
 
     /// Takes down an answered request.
-    auto countAnswer(const CostAccount &account, absl::Duration latency, std::uint32_t shards, std::uint32_t covered) -> void;
+    auto countAnswer(const costs::CostKey &account, absl::Duration latency, std::uint32_t shards, std::uint32_t covered) -> void;
 
     /// Takes down a refused request.
-    auto countRefusal(const CostAccount &account, RefusalKind kind) -> void;
+    auto countRefusal(const costs::CostKey &account, RefusalKind kind) -> void;
 
     /// Counts an event of the given name, such as "crossed_replies".
-    auto countEvent(const std::string &name, std::uint64_t times = 1) -> void;
+    auto countEvent(std::string_view name, std::uint64_t times = 1) -> void;
+
+    /// Sets a gauge, such as "control_links".
+    auto setGauge(std::string_view name, double value) -> void;
+
+    /// Returns what was charged since the start of the process.
+    [[nodiscard]] auto costReport() const -> costs::CostReport;
+
+    /// Returns all metrics in the text form of Prometheus.
+    [[nodiscard]] auto metricsText() const -> std::string;
 
 private:
-    struct Row
+    /// The series of one customer's operation.
+    struct Series
     {
-        std::uint64_t requests = 0;
-        std::uint64_t refusals = 0;
-        std::uint64_t leafRequests = 0;
-        std::uint64_t extraRequests = 0;
-        std::uint64_t cancelled = 0;
-        std::uint64_t leafMicros = 0;
+        metrics::HistogramId latency;
+        metrics::CounterId shards;
+        metrics::CounterId covered;
+        metrics::CounterId partial;
+        metrics::CounterId leafRequests;
+        metrics::CounterId extraLeafRequests;
+        metrics::CounterId leafMicros;
     };
 
-    std::mutex mutex;
-    std::map<CostAccount, Row> rows;
-    std::map<std::string, std::uint64_t> events;
+    auto seriesOf(const costs::CostKey &account) -> const Series &;
+
+    metrics::MetricRegistry registry;
+    metrics::MetricShard &shard;
+    mutable std::mutex mutex;
+    costs::CostLedger ledger;
+    absl::flat_hash_map<costs::CostKey, Series> series;
 };
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/include/tamarackspan/daemon/leaf_work.h
+++ b/packages/daemon/include/tamarackspan/daemon/leaf_work.h
@@ -35,6 +35,15 @@
     std::string body;
 };
 
+/// Why a leaf request is sent.
+enum class AttemptKind {
+    First,
+    /// Sent while an earlier request for the same shard is still open.
+    Hedge,
+    /// Sent after an earlier request for the same shard ended without its rows.
+    Retry,
+};
+
 /// One request for one leaf, at its owner.
 struct LeafWork
 {
@@ -46,8 +55,7 @@
     base::CustomerName customer;
     base::OperationName operation;
     contracts::Priority priority = contracts::Priority::Routine;
-    /// A hedge or a retry.
-    bool extra = false;
+    AttemptKind kind = AttemptKind::First;
     absl::Time deadline;
     query::Pin pin;
     std::shared_ptr<const std::string> body;
--- a/packages/daemon/include/tamarackspan/daemon/query_runner.h
+++ b/packages/daemon/include/tamarackspan/daemon/query_runner.h
@@ -47,12 +47,29 @@
     struct ServiceState;
     struct AttemptPlace;
     struct RunningQuery;
+    /// One owner of one leaf.
+    struct OwnerOfLeaf
+    {
+        base::LeafId leaf;
+        base::HostId owner;
+
+        friend auto operator==(const OwnerOfLeaf &, const OwnerOfLeaf &) -> bool = default;
+
+        template<typename H>
+        friend auto AbslHashValue(H state, const OwnerOfLeaf &place) -> H
+        {
+            return H::combine(std::move(state), place.leaf, place.owner);
+        }
+    };
     using RunningPtr = std::shared_ptr<RunningQuery>;
 
     auto serviceState(const base::ServiceName &service) -> ServiceState &;
     auto contextOf(RunningQuery &query) -> query::QueryContext;
     auto perform(const RunningPtr &query, std::vector<query::Action> actions) -> void;
     auto send(const RunningPtr &query, const query::SendAttempt &attempt) -> void;
+    static auto kindOf(const RunningQuery &query, const query::SendAttempt &attempt) -> AttemptKind;
+    [[nodiscard]] auto ownersToTry(const RunningQuery &query, const base::LeafId &leaf) const -> std::vector<base::HostId>;
+    auto noteEnded(AttemptPlace &place) -> void;
     auto sendLocal(const RunningPtr &query, const query::SendAttempt &attempt) -> void;
     auto flushBatches(RunningQuery &query) -> void;
     auto failLater(std::uint64_t query, base::AttemptId attempt, base::ShardId shard) -> void;
@@ -72,8 +89,10 @@
     base::Random random;
     ControlViewPtr view;
     absl::flat_hash_map<base::ServiceName, std::unique_ptr<ServiceState>> services;
-    absl::flat_hash_map<CostAccount, query::ExtraLoadBudget> extraLoads;
+    absl::flat_hash_map<costs::CostKey, query::ExtraLoadBudget> extraLoads;
     absl::flat_hash_map<std::uint64_t, RunningPtr> queries;
+    /// Own requests in flight.
+    absl::flat_hash_map<OwnerOfLeaf, std::uint32_t> inFlight;
 };
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/include/tamarackspan/daemon/wire_conversion.h
+++ b/packages/daemon/include/tamarackspan/daemon/wire_conversion.h
@@ -15,6 +15,10 @@
 [[nodiscard]] auto toWire(RunState state) noexcept -> wire::RunState;
 [[nodiscard]] auto fromWire(wire::RunState state) noexcept -> RunState;
 
+/// Returns the kind of an attempt as it goes over the inner protocol, and back. An unknown one counts as a retry.
+[[nodiscard]] auto toWire(AttemptKind kind) noexcept -> wire::AttemptKind;
+[[nodiscard]] auto fromWire(wire::AttemptKind kind) noexcept -> AttemptKind;
+
 /// Reads the kind of a refusal as numbered on the inner protocol; an unknown number counts as OutcomeUnknown.
 [[nodiscard]] auto refusalFromWire(std::uint8_t number) noexcept -> RefusalKind;
 
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -191,6 +191,7 @@
         query.responder->answer(refusalResponse(refusal));
         return;
     }
+    this->accounting.chargeRequest({query.customer, query.operation.name});
     query.finished = [this, token] {
         this->gate.finished(token);
     };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -75,6 +75,7 @@
     Parts(const configuration::HostSettings &settings, std::function<void()> requestStop)
         : settings(settings),
           identity{settings.host.innerAddress, makeIncarnation(), settings.host.dataCentre},
+          accounting(this->identity.incarnation),
           gate(admission::AdmissionConfig()),
           traffic(settings.host.trafficThreads, this->identity, linkTiming(settings.timing), this->lease, this->accounting, ticketOptions()),
           control(this->controlLoop, settings, this->identity, this->lease, this->gate,
--- a/packages/daemon/src/execute_runner.cpp
+++ b/packages/daemon/src/execute_runner.cpp
@@ -446,7 +446,7 @@
 
 auto ExecuteRunner::answerCaller(const CallerQuery &caller, const ExecuteResult &result) -> void
 {
-    const auto account = CostAccount{caller.customer, caller.operation.name};
+    const auto account = costs::CostKey{caller.customer, caller.operation.name};
     if (result.run == RunState::Ran) {
         this->accounting.countAnswer(account, base::monotonicNow() - caller.arrivedAt, 1, 1);
         caller.responder->answer(answerResponse(result.body.empty() ? "{}" : result.body));
--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -270,9 +270,8 @@
         logger.warning("leaf answered another request", {{"leaf", work.leaf.get()}, {"request", work.requestName}});
     }
     if (result.reply.reachedLeaf) {
-        const auto kind = work.extra ? LeafRequestKind::Extra : LeafRequestKind::First;
         const auto cancelled = result.reply.outcome == query::LeafOutcome::Cancelled;
-        this->accounting.chargeLeafRequest({work.customer, work.operation}, kind, cancelled, result.reply.costMicros);
+        this->accounting.chargeLeafRequest({work.customer, work.operation}, work.kind, cancelled, result.reply.costMicros);
     }
     auto actions = std::vector<routing::QueueAction>();
     routing::finished(record.queue, id, result.end, base::monotonicNow(), actions);
--- a/packages/daemon/src/query_runner.cpp
+++ b/packages/daemon/src/query_runner.cpp
@@ -34,9 +34,11 @@
 struct QueryRunner::AttemptPlace
 {
     base::ShardId shard;
+    AttemptKind kind = AttemptKind::First;
     /// The link to the owner; null if the owner is this host.
     transport::LinkPtr link;
     std::optional<LeafWorkHandle> local;
+    std::optional<OwnerOfLeaf> owner;
     std::optional<std::vector<Row>> rows;
     bool answered = false;
 };
@@ -103,7 +105,7 @@
 
 auto QueryRunner::contextOf(RunningQuery &query) -> query::QueryContext
 {
-    const auto account = CostAccount{query.caller.customer, query.caller.operation.name};
+    const auto account = costs::CostKey{query.caller.customer, query.caller.operation.name};
     auto [budget, isNew] = this->extraLoads.try_emplace(account);
     if (isNew || budget->second.permille != query.caller.operation.extraLoadPermille) {
         budget->second = query::makeExtraLoadBudget(query.caller.operation.extraLoadPermille, extraLoadBurst);
@@ -169,40 +171,80 @@
     }
     auto &place = query->places[attempt.attempt.get()];
     place.shard = attempt.shard;
+    place.kind = kindOf(*query, attempt);
     ++query->cost.leafRequests;
-    const auto owners = query->owners->find(attempt.leaf);
-    const auto *first = owners == query->owners->end() ? nullptr : routing::chooseOwner(owners->second, query->ownerDraw);
-    if (first == nullptr) {
-        this->failLater(query->number, attempt.attempt, attempt.shard);
+    for (const auto &host : this->ownersToTry(*query, attempt.leaf)) {
+        if (host != this->identity.host) {
+            place.link = this->links.to(host);
+            if (place.link == nullptr) {
+                continue;
+            }
+        }
+        place.owner = OwnerOfLeaf{attempt.leaf, host};
+        ++this->inFlight[*place.owner];
+        if (place.link == nullptr) {
+            this->sendLocal(query, attempt);
+            return;
+        }
+        auto item = std::make_unique<wire::LeafItemT>();
+        item->attempt = attempt.attempt.get();
+        item->shard = attempt.shard.get();
+        item->leaf = attempt.leaf.get();
+        item->kind = toWire(place.kind);
+        query->batches[place.link].items.push_back(std::move(item));
         return;
     }
-    auto candidates = std::vector<base::HostId>{first->host};
+    this->failLater(query->number, attempt.attempt, attempt.shard);
+}
+
+auto QueryRunner::ownersToTry(const RunningQuery &query, const base::LeafId &leaf) const -> std::vector<base::HostId>
+{
+    const auto owners = query.owners->find(leaf);
+    if (owners == query.owners->end()) {
+        return {};
+    }
+    auto loads = std::vector<std::uint32_t>();
+    for (const auto &owner : owners->second) {
+        const auto known = this->inFlight.find(OwnerOfLeaf{leaf, owner.host});
+        loads.push_back(known == this->inFlight.end() ? 0 : known->second);
+    }
+    const auto *first = routing::chooseOwner(owners->second, loads, query.ownerDraw);
+    auto hosts = std::vector<base::HostId>();
+    if (first != nullptr) {
+        hosts.push_back(first->host);
+    }
     for (const auto &owner : owners->second) {
-        if (owner.host != first->host) {
-            candidates.push_back(owner.host);
+        if (first == nullptr || owner.host != first->host) {
+            hosts.push_back(owner.host);
         }
     }
-    std::stable_partition(candidates.begin(), candidates.end(), [this](const base::HostId &host) {
+    std::stable_partition(hosts.begin(), hosts.end(), [this](const base::HostId &host) {
         return !this->links.isDraining(host);
     });
-    for (const auto &host : candidates) {
-        if (host == this->identity.host) {
-            this->sendLocal(query, attempt);
-            return;
-        }
-        place.link = this->links.to(host);
-        if (place.link != nullptr) {
-            auto &batch = query->batches[place.link];
-            auto item = std::make_unique<wire::LeafItemT>();
-            item->attempt = attempt.attempt.get();
-            item->shard = attempt.shard.get();
-            item->leaf = attempt.leaf.get();
-            item->extra = attempt.extra;
-            batch.items.push_back(std::move(item));
-            return;
-        }
+    return hosts;
+}
+
+auto QueryRunner::noteEnded(AttemptPlace &place) -> void
+{
+    place.answered = true;
+    if (!place.owner) {
+        return;
+    }
+    const auto known = this->inFlight.find(*place.owner);
+    if (known != this->inFlight.end() && --known->second == 0) {
+        this->inFlight.erase(known);
     }
-    this->failLater(query->number, attempt.attempt, attempt.shard);
+}
+
+auto QueryRunner::kindOf(const RunningQuery &query, const query::SendAttempt &attempt) -> AttemptKind
+{
+    if (!attempt.extra) {
+        return AttemptKind::First;
+    }
+    const auto hasOpenAttempt = std::any_of(query.places.begin(), query.places.begin() + attempt.attempt.get(), [&attempt](const AttemptPlace &place) {
+        return place.shard == attempt.shard && !place.answered;
+    });
+    return hasOpenAttempt ? AttemptKind::Hedge : AttemptKind::Retry;
 }
 
 auto QueryRunner::sendLocal(const RunningPtr &query, const query::SendAttempt &attempt) -> void
@@ -215,7 +257,7 @@
     work.customer = query->caller.customer;
     work.operation = query->caller.operation.name;
     work.priority = query->caller.operation.priority;
-    work.extra = attempt.extra;
+    work.kind = query->places[attempt.attempt.get()].kind;
     work.deadline = query->caller.deadline;
     work.pin = query->state.pin;
     work.body = query->caller.body;
@@ -308,7 +350,7 @@
         this->accounting.countEvent("late_replies");
         return;
     }
-    place.answered = true;
+    this->noteEnded(place);
     query->cost.leafMicros += reply.costMicros;
     if (reply.outcome == query::LeafOutcome::Complete) {
         place.rows = parseRows(reply.body);
@@ -334,7 +376,12 @@
 {
     this->loop.cancelTimer(query->timer);
     this->queries.erase(query->number);
-    const auto account = CostAccount{query->caller.customer, query->caller.operation.name};
+    for (auto &place : query->places) {
+        if (!place.answered) {
+            this->noteEnded(place);
+        }
+    }
+    const auto account = costs::CostKey{query->caller.customer, query->caller.operation.name};
     const auto covered = finish.shardsTotal - static_cast<std::uint32_t>(finish.missing.size());
     if (query->callerLeft) {
         this->accounting.countEvent("callers_left");
--- a/packages/daemon/src/wire_conversion.cpp
+++ b/packages/daemon/src/wire_conversion.cpp
@@ -75,6 +75,31 @@
     }
 }
 
+auto toWire(AttemptKind kind) noexcept -> wire::AttemptKind
+{
+    switch (kind) {
+    case AttemptKind::First:
+        return wire::AttemptKind::First;
+    case AttemptKind::Hedge:
+        return wire::AttemptKind::Hedge;
+    case AttemptKind::Retry:
+        break;
+    }
+    return wire::AttemptKind::Retry;
+}
+
+auto fromWire(wire::AttemptKind kind) noexcept -> AttemptKind
+{
+    switch (kind) {
+    case wire::AttemptKind::First:
+        return AttemptKind::First;
+    case wire::AttemptKind::Hedge:
+        return AttemptKind::Hedge;
+    default:
+        return AttemptKind::Retry;
+    }
+}
+
 auto refusalFromWire(std::uint8_t number) noexcept -> RefusalKind
 {
     return number <= static_cast<std::uint8_t>(RefusalKind::Stopping) ? static_cast<RefusalKind>(number) : RefusalKind::OutcomeUnknown;
--- a/packages/daemon/src/worker.cpp
+++ b/packages/daemon/src/worker.cpp
@@ -168,7 +168,7 @@
         work.customer = base::CustomerName(batch.customer);
         work.operation = base::OperationName(batch.operation);
         work.priority = batch.urgent ? contracts::Priority::Urgent : contracts::Priority::Routine;
-        work.extra = item->extra;
+        work.kind = fromWire(item->kind);
         work.deadline = deadline;
         work.pin = {base::IndexVersion(batch.indexVersion), base::Revision(batch.mapGeneration)};
         work.body = body;
--- a/packages/wire/include/tamarackspan/wire/inner_generated.h
+++ b/packages/wire/include/tamarackspan/wire/inner_generated.h
@@ -266,6 +266,39 @@
   return EnumNamesRunState()[index];
 }
 
+enum class AttemptKind : uint8_t {
+  First = 0,
+  Hedge = 1,
+  Retry = 2,
+  MIN = First,
+  MAX = Retry
+};
+
+inline const AttemptKind (&EnumValuesAttemptKind())[3] {
+  static const AttemptKind values[] = {
+    AttemptKind::First,
+    AttemptKind::Hedge,
+    AttemptKind::Retry
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesAttemptKind() {
+  static const char * const names[4] = {
+    "First",
+    "Hedge",
+    "Retry",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameAttemptKind(AttemptKind e) {
+  if (flatbuffers::IsOutRange(e, AttemptKind::First, AttemptKind::Retry)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesAttemptKind()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -953,7 +986,7 @@
   uint32_t attempt = 0;
   uint32_t shard = 0;
   std::string leaf{};
-  bool extra = false;
+  tamarackspan::wire::AttemptKind kind = tamarackspan::wire::AttemptKind::First;
 };
 
 struct LeafItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -964,7 +997,7 @@
     VT_ATTEMPT = 4,
     VT_SHARD = 6,
     VT_LEAF = 8,
-    VT_EXTRA = 10
+    VT_KIND = 10
   };
   uint32_t attempt() const {
     return GetField<uint32_t>(VT_ATTEMPT, 0);
@@ -975,8 +1008,8 @@
   const flatbuffers::String *leaf() const {
     return GetPointer<const flatbuffers::String *>(VT_LEAF);
   }
-  bool extra() const {
-    return GetField<uint8_t>(VT_EXTRA, 0) != 0;
+  tamarackspan::wire::AttemptKind kind() const {
+    return static_cast<tamarackspan::wire::AttemptKind>(GetField<uint8_t>(VT_KIND, 0));
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -984,7 +1017,7 @@
            VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
            VerifyOffset(verifier, VT_LEAF) &&
            verifier.VerifyString(leaf()) &&
-           VerifyField<uint8_t>(verifier, VT_EXTRA, 1) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            verifier.EndTable();
   }
   LeafItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1005,8 +1038,8 @@
   void add_leaf(flatbuffers::Offset<flatbuffers::String> leaf) {
     fbb_.AddOffset(LeafItem::VT_LEAF, leaf);
   }
-  void add_extra(bool extra) {
-    fbb_.AddElement<uint8_t>(LeafItem::VT_EXTRA, static_cast<uint8_t>(extra), 0);
+  void add_kind(tamarackspan::wire::AttemptKind kind) {
+    fbb_.AddElement<uint8_t>(LeafItem::VT_KIND, static_cast<uint8_t>(kind), 0);
   }
   explicit LeafItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1024,12 +1057,12 @@
     uint32_t attempt = 0,
     uint32_t shard = 0,
     flatbuffers::Offset<flatbuffers::String> leaf = 0,
-    bool extra = false) {
+    tamarackspan::wire::AttemptKind kind = tamarackspan::wire::AttemptKind::First) {
   LeafItemBuilder builder_(_fbb);
   builder_.add_leaf(leaf);
   builder_.add_shard(shard);
   builder_.add_attempt(attempt);
-  builder_.add_extra(extra);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
@@ -1043,14 +1076,14 @@
     uint32_t attempt = 0,
     uint32_t shard = 0,
     const char *leaf = nullptr,
-    bool extra = false) {
+    tamarackspan::wire::AttemptKind kind = tamarackspan::wire::AttemptKind::First) {
   auto leaf__ = leaf ? _fbb.CreateString(leaf) : 0;
   return tamarackspan::wire::CreateLeafItem(
       _fbb,
       attempt,
       shard,
       leaf__,
-      extra);
+      kind);
 }
 
 flatbuffers::Offset<LeafItem> CreateLeafItem(flatbuffers::FlatBufferBuilder &_fbb, const LeafItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3257,7 +3290,7 @@
   std::string customer{};
   std::string operation{};
   uint64_t requests = 0;
-  uint64_t leafRequests = 0;
+  uint64_t firstLeafRequests = 0;
   uint64_t hedges = 0;
   uint64_t retries = 0;
   uint64_t cancelled = 0;
@@ -3272,7 +3305,7 @@
     VT_CUSTOMER = 4,
     VT_OPERATION = 6,
     VT_REQUESTS = 8,
-    VT_LEAFREQUESTS = 10,
+    VT_FIRSTLEAFREQUESTS = 10,
     VT_HEDGES = 12,
     VT_RETRIES = 14,
     VT_CANCELLED = 16,
@@ -3287,8 +3320,8 @@
   uint64_t requests() const {
     return GetField<uint64_t>(VT_REQUESTS, 0);
   }
-  uint64_t leafRequests() const {
-    return GetField<uint64_t>(VT_LEAFREQUESTS, 0);
+  uint64_t firstLeafRequests() const {
+    return GetField<uint64_t>(VT_FIRSTLEAFREQUESTS, 0);
   }
   uint64_t hedges() const {
     return GetField<uint64_t>(VT_HEDGES, 0);
@@ -3309,7 +3342,7 @@
            VerifyOffset(verifier, VT_OPERATION) &&
            verifier.VerifyString(operation()) &&
            VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_LEAFREQUESTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRSTLEAFREQUESTS, 8) &&
            VerifyField<uint64_t>(verifier, VT_HEDGES, 8) &&
            VerifyField<uint64_t>(verifier, VT_RETRIES, 8) &&
            VerifyField<uint64_t>(verifier, VT_CANCELLED, 8) &&
@@ -3334,8 +3367,8 @@
   void add_requests(uint64_t requests) {
     fbb_.AddElement<uint64_t>(CostRow::VT_REQUESTS, requests, 0);
   }
-  void add_leafRequests(uint64_t leafRequests) {
-    fbb_.AddElement<uint64_t>(CostRow::VT_LEAFREQUESTS, leafRequests, 0);
+  void add_firstLeafRequests(uint64_t firstLeafRequests) {
+    fbb_.AddElement<uint64_t>(CostRow::VT_FIRSTLEAFREQUESTS, firstLeafRequests, 0);
   }
   void add_hedges(uint64_t hedges) {
     fbb_.AddElement<uint64_t>(CostRow::VT_HEDGES, hedges, 0);
@@ -3365,7 +3398,7 @@
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     flatbuffers::Offset<flatbuffers::String> operation = 0,
     uint64_t requests = 0,
-    uint64_t leafRequests = 0,
+    uint64_t firstLeafRequests = 0,
     uint64_t hedges = 0,
     uint64_t retries = 0,
     uint64_t cancelled = 0,
@@ -3375,7 +3408,7 @@
   builder_.add_cancelled(cancelled);
   builder_.add_retries(retries);
   builder_.add_hedges(hedges);
-  builder_.add_leafRequests(leafRequests);
+  builder_.add_firstLeafRequests(firstLeafRequests);
   builder_.add_requests(requests);
   builder_.add_operation(operation);
   builder_.add_customer(customer);
@@ -3392,7 +3425,7 @@
     const char *customer = nullptr,
     const char *operation = nullptr,
     uint64_t requests = 0,
-    uint64_t leafRequests = 0,
+    uint64_t firstLeafRequests = 0,
     uint64_t hedges = 0,
     uint64_t retries = 0,
     uint64_t cancelled = 0,
@@ -3404,7 +3437,7 @@
       customer__,
       operation__,
       requests,
-      leafRequests,
+      firstLeafRequests,
       hedges,
       retries,
       cancelled,
@@ -3415,9 +3448,8 @@
 
 struct CostReportT : public flatbuffers::NativeTable {
   typedef CostReport TableType;
-  std::string host{};
   uint64_t incarnation = 0;
-  uint64_t sequence = 0;
+  uint64_t ageMicros = 0;
   std::vector<std::unique_ptr<tamarackspan::wire::CostRowT>> rows{};
   CostReportT() = default;
   CostReportT(const CostReportT &o);
@@ -3430,29 +3462,23 @@
   typedef CostReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HOST = 4,
-    VT_INCARNATION = 6,
-    VT_SEQUENCE = 8,
-    VT_ROWS = 10
+    VT_INCARNATION = 4,
+    VT_AGEMICROS = 6,
+    VT_ROWS = 8
   };
-  const flatbuffers::String *host() const {
-    return GetPointer<const flatbuffers::String *>(VT_HOST);
-  }
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  uint64_t ageMicros() const {
+    return GetField<uint64_t>(VT_AGEMICROS, 0);
   }
   const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::CostRow>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::CostRow>> *>(VT_ROWS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_HOST) &&
-           verifier.VerifyString(host()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGEMICROS, 8) &&
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
@@ -3467,14 +3493,11 @@
   typedef CostReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
-    fbb_.AddOffset(CostReport::VT_HOST, host);
-  }
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(CostReport::VT_INCARNATION, incarnation, 0);
   }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(CostReport::VT_SEQUENCE, sequence, 0);
+  void add_ageMicros(uint64_t ageMicros) {
+    fbb_.AddElement<uint64_t>(CostReport::VT_AGEMICROS, ageMicros, 0);
   }
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::CostRow>>> rows) {
     fbb_.AddOffset(CostReport::VT_ROWS, rows);
@@ -3492,15 +3515,13 @@
 
 inline flatbuffers::Offset<CostReport> CreateCostReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t incarnation = 0,
-    uint64_t sequence = 0,
+    uint64_t ageMicros = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::wire::CostRow>>> rows = 0) {
   CostReportBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
+  builder_.add_ageMicros(ageMicros);
   builder_.add_incarnation(incarnation);
   builder_.add_rows(rows);
-  builder_.add_host(host);
   return builder_.Finish();
 }
 
@@ -3511,17 +3532,14 @@
 
 inline flatbuffers::Offset<CostReport> CreateCostReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *host = nullptr,
     uint64_t incarnation = 0,
-    uint64_t sequence = 0,
+    uint64_t ageMicros = 0,
     const std::vector<flatbuffers::Offset<tamarackspan::wire::CostRow>> *rows = nullptr) {
-  auto host__ = host ? _fbb.CreateString(host) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::CostRow>>(*rows) : 0;
   return tamarackspan::wire::CreateCostReport(
       _fbb,
-      host__,
       incarnation,
-      sequence,
+      ageMicros,
       rows__);
 }
 
@@ -3820,7 +3838,7 @@
       (lhs.attempt == rhs.attempt) &&
       (lhs.shard == rhs.shard) &&
       (lhs.leaf == rhs.leaf) &&
-      (lhs.extra == rhs.extra);
+      (lhs.kind == rhs.kind);
 }
 
 inline bool operator!=(const LeafItemT &lhs, const LeafItemT &rhs) {
@@ -3840,7 +3858,7 @@
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = shard(); _o->shard = _e; }
   { auto _e = leaf(); if (_e) _o->leaf = _e->str(); }
-  { auto _e = extra(); _o->extra = _e; }
+  { auto _e = kind(); _o->kind = _e; }
 }
 
 inline flatbuffers::Offset<LeafItem> LeafItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeafItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3854,13 +3872,13 @@
   auto _attempt = _o->attempt;
   auto _shard = _o->shard;
   auto _leaf = _o->leaf.empty() ? 0 : _fbb.CreateString(_o->leaf);
-  auto _extra = _o->extra;
+  auto _kind = _o->kind;
   return tamarackspan::wire::CreateLeafItem(
       _fbb,
       _attempt,
       _shard,
       _leaf,
-      _extra);
+      _kind);
 }
 
 
@@ -4894,7 +4912,7 @@
       (lhs.customer == rhs.customer) &&
       (lhs.operation == rhs.operation) &&
       (lhs.requests == rhs.requests) &&
-      (lhs.leafRequests == rhs.leafRequests) &&
+      (lhs.firstLeafRequests == rhs.firstLeafRequests) &&
       (lhs.hedges == rhs.hedges) &&
       (lhs.retries == rhs.retries) &&
       (lhs.cancelled == rhs.cancelled) &&
@@ -4918,7 +4936,7 @@
   { auto _e = customer(); if (_e) _o->customer = _e->str(); }
   { auto _e = operation(); if (_e) _o->operation = _e->str(); }
   { auto _e = requests(); _o->requests = _e; }
-  { auto _e = leafRequests(); _o->leafRequests = _e; }
+  { auto _e = firstLeafRequests(); _o->firstLeafRequests = _e; }
   { auto _e = hedges(); _o->hedges = _e; }
   { auto _e = retries(); _o->retries = _e; }
   { auto _e = cancelled(); _o->cancelled = _e; }
@@ -4936,7 +4954,7 @@
   auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
   auto _operation = _o->operation.empty() ? 0 : _fbb.CreateString(_o->operation);
   auto _requests = _o->requests;
-  auto _leafRequests = _o->leafRequests;
+  auto _firstLeafRequests = _o->firstLeafRequests;
   auto _hedges = _o->hedges;
   auto _retries = _o->retries;
   auto _cancelled = _o->cancelled;
@@ -4946,7 +4964,7 @@
       _customer,
       _operation,
       _requests,
-      _leafRequests,
+      _firstLeafRequests,
       _hedges,
       _retries,
       _cancelled,
@@ -4956,9 +4974,8 @@
 
 inline bool operator==(const CostReportT &lhs, const CostReportT &rhs) {
   return
-      (lhs.host == rhs.host) &&
       (lhs.incarnation == rhs.incarnation) &&
-      (lhs.sequence == rhs.sequence) &&
+      (lhs.ageMicros == rhs.ageMicros) &&
       (lhs.rows.size() == rhs.rows.size() && std::equal(lhs.rows.cbegin(), lhs.rows.cend(), rhs.rows.cbegin(), [](std::unique_ptr<tamarackspan::wire::CostRowT> const &a, std::unique_ptr<tamarackspan::wire::CostRowT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
@@ -4968,17 +4985,15 @@
 
 
 inline CostReportT::CostReportT(const CostReportT &o)
-      : host(o.host),
-        incarnation(o.incarnation),
-        sequence(o.sequence) {
+      : incarnation(o.incarnation),
+        ageMicros(o.ageMicros) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new tamarackspan::wire::CostRowT(*rows_) : nullptr); }
 }
 
 inline CostReportT &CostReportT::operator=(CostReportT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(host, o.host);
   std::swap(incarnation, o.incarnation);
-  std::swap(sequence, o.sequence);
+  std::swap(ageMicros, o.ageMicros);
   std::swap(rows, o.rows);
   return *this;
 }
@@ -4992,9 +5007,8 @@
 inline void CostReport::UnPackTo(CostReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = ageMicros(); _o->ageMicros = _e; }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<tamarackspan::wire::CostRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -5006,15 +5020,13 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CostReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _incarnation = _o->incarnation;
-  auto _sequence = _o->sequence;
+  auto _ageMicros = _o->ageMicros;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::wire::CostRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateCostRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tamarackspan::wire::CreateCostReport(
       _fbb,
-      _host,
       _incarnation,
-      _sequence,
+      _ageMicros,
       _rows);
 }
 
