--- a/packages/admission/include/tamarackspan/admission/admission.h
+++ b/packages/admission/include/tamarackspan/admission/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackspan/admission/demand.h"
 #include "tamarackspan/admission/token_bucket.h"
 #include "tamarackspan/base/ids.h"
 #include "tamarackspan/contracts/operation.h"
@@ -152,18 +153,6 @@
     std::size_t peakInFlight = 0;
 };
 
-/// What a customer needed since the counts were last taken.
-struct DemandCounts
-{
-    std::uint32_t offered = 0;
-    std::uint32_t peakRunning = 0;
-    std::uint32_t refusedRate = 0;
-    std::uint32_t refusedConcurrency = 0;
-    absl::Duration over;
-
-    friend auto operator==(const DemandCounts &, const DemandCounts &) -> bool = default;
-};
-
 /// Returns the state of a host that has admitted nothing yet.
 [[nodiscard]] auto makeAdmission(const AdmissionConfig &config) -> AdmissionState;
 
--- a/packages/admission/include/tamarackspan/admission/lending.h
+++ b/packages/admission/include/tamarackspan/admission/lending.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "tamarackspan/admission/budget.h"
+#include "tamarackspan/admission/demand.h"
+#include "tamarackspan/admission/own_part.h"
 #include "tamarackspan/base/ids.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -120,27 +121,19 @@
     friend auto operator==(const PendingAsk &, const PendingAsk &) -> bool = default;
 };
 
-/// What one customer's requests needed of late, as counted at admission.
+/// What one customer's requests need, as learned from the counts of admission.
 struct Demand
 {
-    /// Requests per second offered, admitted or not.
+    /// Requests per second, admitted or not, smoothed.
+    double smoothedRate = 0;
+    /// The rate to provide for: no less than the smoothed one.
     double rate = 0;
-    /// Requests that were running or were refused for concurrency, at the most.
+    /// Requests that run at once, at the most.
     double concurrency = 0;
 
     friend auto operator==(const Demand &, const Demand &) -> bool = default;
 };
 
-/// The own part of the budget, from the host list.
-struct OwnPart
-{
-    Budget budget;
-    /// Nothing is left of it from this time on.
-    absl::Time until = absl::InfinitePast();
-
-    friend auto operator==(const OwnPart &, const OwnPart &) -> bool = default;
-};
-
 /// What a host last said that it could lend; nothing if it didn't answer.
 struct LenderHint
 {
@@ -205,7 +198,7 @@
 auto removeCustomer(LendingState &state, const base::CustomerName &customer) -> void;
 
 /// Records what a customer needed since the last call, to be called every interval. More counts at once, less counts slowly.
-auto recordDemand(LendingState &state, const base::CustomerName &customer, const Demand &demand) -> void;
+auto recordDemand(LendingState &state, const base::CustomerName &customer, const DemandCounts &counts) -> void;
 
 /// Returns what this host may use from now on: own part, less loans out, plus loans in, each to its end.
 [[nodiscard]] auto scheduleOf(const LendingState &state, const base::CustomerName &customer, absl::Time now) -> BudgetSchedule;
--- a/packages/admission/include/tamarackspan/admission/token_bucket.h
+++ b/packages/admission/include/tamarackspan/admission/token_bucket.h
@@ -11,6 +11,8 @@
     BudgetSchedule schedule;
     double tokens = 0;
     absl::Time updatedAt = absl::InfinitePast();
+    /// False gives new burst its tokens at once. For tests that show what starting empty prevents.
+    bool startEmpty = true;
 
     friend auto operator==(const TokenBucket &, const TokenBucket &) -> bool = default;
 };
--- a/packages/admission/src/adaptive_limit.cpp
+++ b/packages/admission/src/adaptive_limit.cpp
@@ -12,7 +12,7 @@
 // The weight of the newest group of requests in the limit.
 constexpr auto limitWeight = 0.3;
 // The unloaded time rises by this factor per request that took longer, so that a leaf that became slower for good is learned.
-constexpr auto unloadedDrift = 1.0005;
+constexpr auto unloadedDrift = 1.000002;
 // The least factor by which one group of requests lowers the limit.
 constexpr auto leastFactor = 0.5;
 constexpr auto leastSamples = std::uint32_t{16};
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Each refusal for the deadline lowers the operation's expected time by this factor, so that requests are tried again once it has become faster.
+constexpr auto refusalFactor = 0.95;
 // The part of the time to spare before its deadline that a request may spend waiting.
 constexpr auto waitablePart = 0.5;
 
@@ -32,6 +34,17 @@
     return absl::ZeroDuration();
 }
 
+// True if the request can't end before its deadline, going by how long its operation takes when it is slow.
+auto comesTooLate(const AdmissionState &state, CustomerAdmission &customer, const Request &request, absl::Time now) -> bool
+{
+    const auto slowTime = typicalTime(customer, request.operation) * state.config.latencyTolerance;
+    if (!state.config.checkDeadline || now + slowTime <= request.deadline) {
+        return false;
+    }
+    operationTimes(customer, request.operation).typical *= refusalFactor;
+    return true;
+}
+
 auto queueOf(AdmissionState &state, contracts::Priority priority) -> std::deque<Request> &
 {
     return priority == contracts::Priority::Urgent && state.config.urgentFirst ? state.urgentQueue : state.routineQueue;
@@ -121,7 +134,7 @@
         return Refused{RefusalReason::NoBudget, absl::ZeroDuration()};
     }
     --found->second.queued;
-    if (state.config.checkDeadline && now + typicalTime(found->second, request.operation) > request.deadline) {
+    if (comesTooLate(state, found->second, request, now)) {
         return Refused{RefusalReason::Deadline, absl::ZeroDuration()};
     }
     return startWithinBudget(state, found->second, request, now);
@@ -210,7 +223,7 @@
     }
     auto &customer = found->second;
     ++customer.offered;
-    if (state.config.checkDeadline && now + typicalTime(customer, request.operation) > request.deadline) {
+    if (comesTooLate(state, customer, request, now)) {
         return Refused{RefusalReason::Deadline, absl::ZeroDuration()};
     }
     const auto firstInLine = state.urgentQueue.empty() && (request.priority == contracts::Priority::Urgent || state.routineQueue.empty());
--- a/packages/admission/src/lending.cpp
+++ b/packages/admission/src/lending.cpp
@@ -11,8 +11,11 @@
 
 // Demand is met with this much to spare, so that a customer which grows slowly is seldom refused.
 constexpr auto demandHeadroom = 1.1;
-// What is left of a demand after an interval without any.
-constexpr auto demandDecay = 0.9;
+// The longest and the shortest time over which demand is smoothed. In between, it is the time in which sureCount requests come.
+constexpr auto demandSeconds = 1.0;
+constexpr auto leastDemandSeconds = 0.1;
+// From this many requests within an interval on, their rate counts at once.
+constexpr auto sureCount = std::uint32_t{4};
 // Demand below this is none.
 constexpr auto leastDemand = 0.05;
 
@@ -258,15 +261,23 @@
     state.customers.erase(customer);
 }
 
-auto recordDemand(LendingState &state, const base::CustomerName &customer, const Demand &demand) -> void
+auto recordDemand(LendingState &state, const base::CustomerName &customer, const DemandCounts &counts) -> void
 {
     const auto found = state.customers.find(customer);
-    if (found == state.customers.end()) {
+    const auto over = absl::ToDoubleSeconds(counts.over);
+    if (found == state.customers.end() || over <= 0) {
         return;
     }
-    auto &known = found->second.demand;
-    known.rate = std::max(demand.rate, known.rate * demandDecay);
-    known.concurrency = std::max(demand.concurrency, known.concurrency * demandDecay);
+    auto &demand = found->second.demand;
+    const auto fallSeconds = std::clamp(sureCount / std::max(demand.rate, leastDemand), leastDemandSeconds, demandSeconds);
+    const auto kept = std::exp(-over / fallSeconds);
+    demand.smoothedRate = demand.smoothedRate * std::exp(-over / demandSeconds) + counts.offered / std::max(over, demandSeconds);
+    const auto atOnce = counts.offered >= sureCount ? counts.offered / over : 0;
+    if (demand.rate * kept < demand.smoothedRate && atOnce == 0 && demand.rate * over >= sureCount) {
+        demand.smoothedRate = demand.rate * kept;
+    }
+    demand.rate = std::max({demand.smoothedRate, atOnce, demand.rate * kept});
+    demand.concurrency = std::max<double>(counts.peakRunning + counts.refusedConcurrency, demand.concurrency * kept);
 }
 
 auto scheduleOf(const LendingState &state, const base::CustomerName &customer, absl::Time now) -> BudgetSchedule
--- a/packages/admission/src/token_bucket.cpp
+++ b/packages/admission/src/token_bucket.cpp
@@ -34,9 +34,14 @@
 auto setSchedule(TokenBucket &bucket, const BudgetSchedule &schedule, absl::Time now) -> void
 {
     refill(bucket, now);
+    const auto before = budgetAt(bucket.schedule, now).burst;
+    const auto after = budgetAt(schedule, now).burst;
+    if (!bucket.startEmpty && after > before) {
+        bucket.tokens += after - before;
+    }
     bucket.schedule = schedule;
     bucket.updatedAt = std::max(bucket.updatedAt, now);
-    bucket.tokens = std::min(bucket.tokens, static_cast<double>(budgetAt(schedule, now).burst));
+    bucket.tokens = std::min(bucket.tokens, static_cast<double>(after));
 }
 
 auto takeToken(TokenBucket &bucket, absl::Time now) -> bool
--- a/packages/membership/include/tamarackspan/membership/roster.h
+++ b/packages/membership/include/tamarackspan/membership/roster.h
@@ -23,6 +23,8 @@
     bool checkLease = true;
     /// False lets parts grow as soon as a list is read. For tests that show what the wait prevents.
     bool waitToGrow = true;
+    /// False lets parts grow without witnesses that hold the list. For tests that show what the witnesses prevent.
+    bool askWitnesses = true;
 
     friend auto operator==(const RosterConfig &, const RosterConfig &) -> bool = default;
 };
@@ -58,6 +60,8 @@
     contracts::HostList list;
     /// The stable hash of each listed host, in the order of the list.
     std::vector<std::uint64_t> hostHashes;
+    /// The witnesses of the list.
+    std::vector<base::HostId> witnesses;
     absl::Time firstSeen;
     /// The newest time at which this list was confirmed to be the newest.
     absl::Time confirmedAt;
@@ -117,4 +121,7 @@
 /// that rank first for it, so that a change of one host moves at most one of them.
 [[nodiscard]] auto partInForce(const RosterState &state, std::uint32_t total, std::string_view key, absl::Duration hold, absl::Time now) -> PartInForce;
 
+/// Returns the hosts that rank first for a key, best first: those that hold a part of as many units.
+[[nodiscard]] auto partHolders(const contracts::HostList &list, std::uint32_t units, std::string_view key) -> std::vector<base::HostId>;
+
 } // namespace tamarackspan::membership
--- a/packages/membership/src/host_hash.h
+++ b/packages/membership/src/host_rank.h
@@ -2,8 +2,11 @@
 
 #include "tamarackspan/base/ids.h"
 #include "tamarackspan/base/random.h"
+#include "tamarackspan/contracts/host_list.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace tamarackspan::membership::impl {
 
@@ -19,4 +22,7 @@
     return base::mixBits(key ^ base::mixBits(host));
 }
 
+/// Returns the hosts that rank first for a key, best first; leaving hosts after all others if asked for.
+[[nodiscard]] auto firstRanked(const contracts::HostList &list, std::uint64_t key, std::size_t count, bool leavingLast) -> std::vector<base::HostId>;
+
 } // namespace tamarackspan::membership::impl
--- a/packages/membership/src/roster.cpp
+++ b/packages/membership/src/roster.cpp
@@ -3,7 +3,7 @@
 #include "tamarackspan/base/unit_split.h"
 #include "tamarackspan/membership/overlay.h"
 
-#include "host_hash.h"
+#include "host_rank.h"
 
 #include <algorithm>
 
@@ -28,7 +28,7 @@
         return true;
     }
     const auto stood = seen.confirmedAt - seen.firstSeen >= growthWindow(config, hold);
-    return stood && seen.heldByQuorumAt <= seen.confirmedAt - 2 * config.lease - hold;
+    return stood && (!config.askWitnesses || seen.heldByQuorumAt <= seen.confirmedAt - 2 * config.lease - hold);
 }
 
 // The position of the newest settled list; the size of the history if there is none.
@@ -52,7 +52,7 @@
 
 auto makeSeen(const ListReading &reading, absl::Time now) -> SeenList
 {
-    auto seen = SeenList{reading.revision, reading.list, {}, now, reading.confirmedAt, absl::InfiniteFuture()};
+    auto seen = SeenList{reading.revision, reading.list, {}, witnesses(reading.list), now, reading.confirmedAt, absl::InfiniteFuture()};
     seen.hostHashes.reserve(reading.list.hosts.size());
     for (const auto &host : reading.list.hosts) {
         seen.hostHashes.push_back(impl::hostHash(host.id));
@@ -129,7 +129,7 @@
     if (state.history.empty()) {
         return;
     }
-    const auto hosts = witnesses(state.history.back().list);
+    const auto &hosts = state.history.back().witnesses;
     const auto count = countWitnesses(state, hosts, state.history.back().revision, now);
     if (!hosts.empty() && count.confirmedAt.size() >= quorumToConfirm(hosts.size())) {
         confirmOrRestart(state, count.confirmedAt[quorumToConfirm(hosts.size()) - 1], now);
@@ -232,4 +232,9 @@
     return {units, until};
 }
 
+auto partHolders(const contracts::HostList &list, std::uint32_t units, std::string_view key) -> std::vector<base::HostId>
+{
+    return impl::firstRanked(list, base::stableHash(key.data(), key.size()), units, false);
+}
+
 } // namespace tamarackspan::membership
--- a/packages/membership/tests/roster_test.cpp
+++ b/packages/membership/tests/roster_test.cpp
@@ -94,6 +94,26 @@
     EXPECT_EQ(part(this->state, 10, now), 0U);
 }
 
+// What a list that lags longer than assumed does: a host taken off the list goes on for as long as reads still show it the old one, and for the lease after
+// that. The sum goes over by that host's part at the most.
+TEST_F(Roster, AListThatLagsLongerThanAssumedCostsThePartOfTheHostTakenOff)
+{
+    const auto published = confirmFor(this->state, 1, this->pair, start, this->window);
+    const auto next = listOf({"b", "c"});
+    auto newcomer = RosterState{base::HostId("c"), {}, {}, {}};
+    const auto trueLag = this->window + absl::Seconds(30);
+    auto worst = std::uint32_t{0};
+    for (auto now = published; now < published + trueLag; now += absl::Seconds(1)) {
+        recordList(this->state, {base::Revision(1), this->pair, now}, now, absl::ZeroDuration());
+        confirmFor(newcomer, 2, next, now, absl::ZeroDuration());
+        worst = std::max(worst, part(this->state, 10, now) + 5 + part(newcomer, 10, now));
+        ASSERT_LE(part(this->state, 10, now) + part(newcomer, 10, now), 10U);
+    }
+    EXPECT_EQ(worst, 15U);
+    const auto end = published + trueLag - absl::Seconds(1) + this->state.config.lease;
+    EXPECT_EQ(part(this->state, 10, end), 0U);
+}
+
 TEST_F(Roster, OlderListsAreIgnored)
 {
     const auto now = confirmFor(this->state, 5, this->pair, start, this->window);
