Turn whole queries away at the entry under overload

Past saturation each leaf sheds its own few, and a query over 20 shards is whole only if none of its shards was shed: goodput fell to half.

--- a/packages/query/benches/fleet.cpp
+++ b/packages/query/benches/fleet.cpp
@@ -73,6 +73,7 @@
 {
     routing::LeafTable leafs;
     ExtraLoadBudget budget;
+    OverloadGate gate;
     /// Own requests in flight at each owner's queue.
     absl::flat_hash_map<std::size_t, std::uint32_t> inFlight;
 };
@@ -232,6 +233,13 @@
         query.urgent = this->arrivals.unit() < this->scenario.urgentPart;
         query.arrived = this->now;
         query.ownerDraw = this->arrivals.next();
+        this->push(this->now + gap, EventKind::Arrive, 0);
+        const auto counted = query.arrived - absl::UnixEpoch() >= warmUp;
+        this->offered += counted ? 1 : 0;
+        this->urgentOffered += counted && query.urgent ? 1 : 0;
+        if (this->step.gate && !enterGate(this->entries[query.entry].gate, priorityOf(query))) {
+            return;
+        }
         auto request = QueryRequest{};
         request.view = this->view;
         request.deadline = this->now + this->scenario.deadline;
@@ -242,7 +250,11 @@
         auto shared = this->context(query);
         query.state = startQuery(request, shared, this->now, actions);
         this->apply(number, actions);
-        this->push(this->now + gap, EventKind::Arrive, 0);
+    }
+
+    static auto priorityOf(const RunningQuery &query) -> contracts::Priority
+    {
+        return query.urgent ? contracts::Priority::Urgent : contracts::Priority::Routine;
     }
 
     auto apply(std::size_t number, const std::vector<Action> &actions) -> void
@@ -303,6 +315,7 @@
 
     auto count(const RunningQuery &query, const Finish &end) -> void
     {
+        leaveGate(this->entries[query.entry].gate, {priorityOf(query), this->now - query.arrived, this->scenario.deadline, end.missing.empty()}, this->now);
         if (query.arrived - absl::UnixEpoch() < warmUp) {
             return;
         }
@@ -408,7 +421,7 @@
     {
         const auto &request = this->requests[id];
         const auto &query = *this->queries[request.query];
-        const auto priority = query.urgent ? contracts::Priority::Urgent : contracts::Priority::Routine;
+        const auto priority = priorityOf(query);
         auto actions = std::vector<routing::QueueAction>{};
         const auto queue = request.queue;
         routing::submit(this->queues[queue].state, {routing::QueueRequestId{id}, priority, query.state.request.deadline}, this->now, actions);
@@ -461,16 +474,15 @@
     {
         std::ranges::sort(this->latencies);
         std::ranges::sort(this->urgentLatencies);
-        const auto counted = static_cast<double>(this->latencies.size());
         auto outcome = Outcome{};
-        outcome.queries = static_cast<std::uint32_t>(this->latencies.size());
+        outcome.queries = this->offered;
         outcome.p50 = quantile(this->latencies, 0.5);
         outcome.p99 = quantile(this->latencies, 0.99);
         outcome.p999 = quantile(this->latencies, 0.999);
         outcome.urgentP99 = quantile(this->urgentLatencies, 0.99);
         outcome.coverage = static_cast<double>(this->shardsAnswered) / static_cast<double>(this->shardsAsked);
-        outcome.whole = this->whole / counted;
-        outcome.urgentWhole = this->urgentWhole / std::max(1.0, static_cast<double>(this->urgentLatencies.size()));
+        outcome.whole = this->whole / std::max(1U, this->offered);
+        outcome.urgentWhole = this->urgentWhole / std::max(1U, this->urgentOffered);
         outcome.extra = static_cast<double>(this->extras) / static_cast<double>(this->firsts);
         outcome.goodput = this->whole / absl::ToDoubleSeconds(this->scenario.length - warmUp);
         return outcome;
@@ -496,6 +508,8 @@
     std::vector<double> urgentLatencies;
     std::uint64_t shardsAsked = 0;
     std::uint64_t shardsAnswered = 0;
+    std::uint32_t offered = 0;
+    std::uint32_t urgentOffered = 0;
     double whole = 0;
     double urgentWhole = 0;
     std::uint64_t firsts = 0;
--- a/packages/query/benches/fleet.h
+++ b/packages/query/benches/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackspan/query/overload_gate.h"
 #include "tamarackspan/query/query_machine.h"
 #include "tamarackspan/routing/leaf_queue.h"
 #include "tamarackspan/routing/ownership.h"
@@ -67,11 +68,14 @@
     std::uint32_t extraLoadPermille = 50;
     std::uint32_t ownersPerLeaf = routing::maxOwnersPerLeaf;
     OwnerChoice ownerChoice = OwnerChoice::Draw;
+    /// Whether entries turn whole queries away under overload.
+    bool gate = false;
 };
 
 /// What one run showed; latencies in milliseconds.
 struct Outcome
 {
+    /// Queries offered.
     std::uint32_t queries = 0;
     double p50 = 0;
     double p99 = 0;
@@ -79,7 +83,7 @@
     double urgentP99 = 0;
     /// Shards answered, of all shards asked for.
     double coverage = 0;
-    /// Queries whose answer was whole.
+    /// Whole answers, of all queries offered.
     double whole = 0;
     double urgentWhole = 0;
     /// Leaf requests beyond one for each shard.
--- a/packages/query/benches/policy_bench.cpp
+++ b/packages/query/benches/policy_bench.cpp
@@ -58,6 +58,9 @@
     add("+slow start", [](Step &step) {
         step.routing.slowStart = routing::RoutingPolicy{}.slowStart;
     });
+    add("+gate", [](Step &step) {
+        step.gate = true;
+    });
     return all;
 }
 
@@ -131,6 +134,9 @@
             title(scenario, "30% urgent, thin answers refused");
             print("naive", play(scenario, steps().front()));
             print("+shed early", play(scenario, steps()[3]));
+            auto ungated = steps().back();
+            ungated.gate = false;
+            print("all but gate", play(scenario, ungated));
             print("whole policy", play(scenario, steps().back()));
         }
     }
--- a/packages/query/include/tamarackspan/query/fwd.h
+++ b/packages/query/include/tamarackspan/query/fwd.h
@@ -4,6 +4,7 @@
 
 struct ExtraLoadBudget;
 struct LeafReply;
+struct OverloadGate;
 struct Pin;
 struct QueryContext;
 struct QueryPolicy;
--- /dev/null
+++ b/packages/query/src/overload_gate.cpp
@@ -0,0 +1,43 @@
+#include "tamarackspan/query/overload_gate.h"
+
+#include <algorithm>
+
+namespace tamarackspan::query {
+
+namespace {
+
+auto runningAgainst(const OverloadGate &gate, contracts::Priority priority) -> std::uint32_t
+{
+    const auto urgent = gate.running[static_cast<std::size_t>(contracts::Priority::Urgent)];
+    const auto routine = gate.running[static_cast<std::size_t>(contracts::Priority::Routine)];
+    return priority == contracts::Priority::Urgent ? urgent : urgent + routine;
+}
+
+} // namespace
+
+auto enterGate(OverloadGate &gate, contracts::Priority priority) -> bool
+{
+    if (runningAgainst(gate, priority) + 1 > gate.limit) {
+        return false;
+    }
+    ++gate.running.at(static_cast<std::size_t>(priority));
+    return true;
+}
+
+auto leaveGate(OverloadGate &gate, const GateReport &report, absl::Time now) -> void
+{
+    const auto inUse = runningAgainst(gate, contracts::Priority::Routine) + 1 >= gate.limit;
+    auto &running = gate.running.at(static_cast<std::size_t>(report.priority));
+    running -= running > 0 ? 1 : 0;
+    if (!report.whole || report.latency > report.allowed * gate.policy.slowPart) {
+        // Queries that started before the last cut say nothing of the limit since.
+        if (now - report.latency >= gate.lastCut) {
+            gate.limit = std::max(gate.policy.leastLimit, gate.limit * gate.policy.cut);
+            gate.lastCut = now;
+        }
+    } else if (inUse) {
+        gate.limit += 1 / gate.limit;
+    }
+}
+
+} // namespace tamarackspan::query
