--- a/packages/query/benches/policy_bench.cpp
+++ b/packages/query/benches/policy_bench.cpp
@@ -114,6 +114,7 @@
 auto runFaults() -> void
 {
     for (auto scenario : shapes()) {
+        scenario.length = absl::Seconds(12);
         for (const auto &fault : faults) {
             scenario.fault = fault.fault;
             title(scenario, fault.name);
@@ -165,6 +166,7 @@
 auto runSweep() -> void
 {
     auto scenario = shapes()[0];
+    scenario.length = absl::Seconds(12);
     for (const auto &fault : {faults[0], faults[1], faults[2]}) {
         scenario.fault = fault.fault;
         title(scenario, fault.name);
--- a/packages/query/include/tamarackspan/query/overload_gate.h
+++ b/packages/query/include/tamarackspan/query/overload_gate.h
@@ -16,7 +16,7 @@
     double firstLimit = 64;
     double leastLimit = 2;
     /// What is left of the limit after a cut.
-    double cut = 0.9;
+    double cut = 0.7;
     /// A query that took more than this part of its deadline is a sign of overload.
     double slowPart = 0.5;
 
