--- a/packages/query/benches/policy_bench.cpp
+++ b/packages/query/benches/policy_bench.cpp
@@ -58,6 +58,9 @@
     add("+slow start", [](Step &step) {
         step.routing.slowStart = routing::RoutingPolicy{}.slowStart;
     });
+    add("+gate", [](Step &step) {
+        step.gate = true;
+    });
     return all;
 }
 
@@ -111,6 +114,7 @@
 auto runFaults() -> void
 {
     for (auto scenario : shapes()) {
+        scenario.length = absl::Seconds(12);
         for (const auto &fault : faults) {
             scenario.fault = fault.fault;
             title(scenario, fault.name);
@@ -131,6 +135,9 @@
             title(scenario, "30% urgent, thin answers refused");
             print("naive", play(scenario, steps().front()));
             print("+shed early", play(scenario, steps()[3]));
+            auto ungated = steps().back();
+            ungated.gate = false;
+            print("all but gate", play(scenario, ungated));
             print("whole policy", play(scenario, steps().back()));
         }
     }
@@ -159,6 +166,7 @@
 auto runSweep() -> void
 {
     auto scenario = shapes()[0];
+    scenario.length = absl::Seconds(12);
     for (const auto &fault : {faults[0], faults[1], faults[2]}) {
         scenario.fault = fault.fault;
         title(scenario, fault.name);
