Let the load driver's test send every request

CountsAnswersAndRefusals expected 40 calls but left the bound of requests on their way at 16, so that some were rightly not sent when replies took longer: 26 calls under ThreadSanitizer, and one failure in a plain run. The bound is now 40 and the expectations stay.

--- a/packages/testkit/tests/load_driver_test.cpp
+++ b/packages/testkit/tests/load_driver_test.cpp
@@ -62,7 +62,7 @@
 TEST_F(LoadDriverTest, CountsAnswersAndRefusals)
 {
     auto summary = LoadSummary();
-    for (const auto &call : this->drive({{"rate", 2000}, {"mix", {parseMix("a/lookup:3"), parseMix("refused/lookup:1")}}})) {
+    for (const auto &call : this->drive({{"rate", 2000}, {"in_flight", 40}, {"mix", {parseMix("a/lookup:3"), parseMix("refused/lookup:1")}}})) {
         addCall(summary, call);
     }
     EXPECT_EQ(summary.calls, 40);
