Keep a leaf's history in one place only

A history was kept in memory also when it went to a file, as parsed objects, so that memory grew with each request of a bench. It is now kept as text in memory, in the file, or not at all.

--- a/packages/testkit/include/tamarackspan/testkit/history.h
+++ b/packages/testkit/include/tamarackspan/testkit/history.h
@@ -16,22 +16,32 @@
 /// Returns the marker that a leaf stand-in echoes in every row: the member "marker" of a JSON body, else a hash of the body.
 [[nodiscard]] auto markerOf(const std::string &body) -> std::string;
 
-/// What one process saw: JSON objects in the order of their end, kept in memory and appended to a file.
+/// Where a history is kept.
+enum class HistoryStore {
+    Memory,
+    File,
+    /// Nothing is kept, for benches.
+    Nowhere,
+};
+
+/// What one process saw: JSON objects in the order of their end.
 class History
 {
 public:
-    /// Appends to the file at this path; keeps the history in memory only if the path is empty.
-    explicit History(const std::string &path);
+    /// The path is for a history in a file, which is appended to.
+    explicit History(HistoryStore store, std::string path = {});
 
     /// Appends one record.
     auto append(const nlohmann::json &record) -> void;
 
-    /// Returns the records whose member "leaf" is the given text, or all if it is empty, as JSON lines.
+    /// Returns the records kept whose member "leaf" is the given text, or all if it is empty, as JSON lines.
     [[nodiscard]] auto lines(const std::string &leaf) const -> std::string;
 
 private:
+    HistoryStore store;
+    std::string path;
     std::ofstream file;
-    std::vector<nlohmann::json> records;
+    std::string kept;
 };
 
 /// Reads JSON lines; stops the process at a line that isn't JSON, but for a last line without a newline, which a killed process leaves.
--- a/packages/testkit/include/tamarackspan/testkit/leaf_stand_in.h
+++ b/packages/testkit/include/tamarackspan/testkit/leaf_stand_in.h
@@ -18,7 +18,7 @@
 {
 public:
     /// Starts to listen.
-    LeafStandIn(std::uint16_t controlPort, const std::string &historyPath);
+    LeafStandIn(std::uint16_t controlPort, HistoryStore store, const std::string &historyPath = {});
     ~LeafStandIn();
     LeafStandIn(const LeafStandIn &) = delete;
     auto operator=(const LeafStandIn &) -> LeafStandIn & = delete;
--- a/packages/testkit/src/history.cpp
+++ b/packages/testkit/src/history.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <sstream>
+#include <utility>
 
 namespace tamarackspan::testkit {
 
@@ -25,26 +26,31 @@
     return absl::StrCat("hash-", absl::Hex(base::stableHash(body.data(), body.size())));
 }
 
-History::History(const std::string &path)
+History::History(HistoryStore store, std::string path)
+    : store(store),
+      path(std::move(path))
 {
-    if (!path.empty()) {
-        this->file.open(path, std::ios::app);
+    if (store == HistoryStore::File) {
+        this->file.open(this->path, std::ios::app);
         base::require(this->file.is_open(), "the history file can't be opened");
     }
 }
 
 auto History::append(const Json &record) -> void
 {
-    this->records.push_back(record);
-    if (this->file.is_open()) {
+    if (this->store == HistoryStore::File) {
+        // Flushed at once, so that a killed process leaves all that it saw.
         this->file << record.dump() << std::endl;
+    } else if (this->store == HistoryStore::Memory) {
+        absl::StrAppend(&this->kept, record.dump(), "\n");
     }
 }
 
 auto History::lines(const std::string &leaf) const -> std::string
 {
+    const auto records = this->store == HistoryStore::File ? readHistory(this->path) : parseHistory(this->kept);
     auto text = std::string();
-    for (const auto &record : this->records) {
+    for (const auto &record : records) {
         if (leaf.empty() || record.value("leaf", "") == leaf) {
             absl::StrAppend(&text, record.dump(), "\n");
         }
--- a/packages/testkit/src/leaf_stand_in.cpp
+++ b/packages/testkit/src/leaf_stand_in.cpp
@@ -17,8 +17,8 @@
     std::unique_ptr<LeafServer> server;
 };
 
-LeafStandIn::LeafStandIn(std::uint16_t controlPort, const std::string &historyPath)
-    : history(historyPath),
+LeafStandIn::LeafStandIn(std::uint16_t controlPort, HistoryStore store, const std::string &historyPath)
+    : history(store, historyPath),
       controlServer(std::make_unique<HttpServer>(this->thread.loop(), HttpServerOptions{.port = controlPort, .connectionCap = 0},
                                                  [this](const std::shared_ptr<Exchange> &exchange) {
                                                      this->control(*exchange);
--- a/packages/testkit/tests/stand_in_test.cpp
+++ b/packages/testkit/tests/stand_in_test.cpp
@@ -52,7 +52,7 @@
         return records;
     }
 
-    LeafStandIn standIn = LeafStandIn(0, "");
+    LeafStandIn standIn = LeafStandIn(0, HistoryStore::Memory);
     std::uint16_t leafPort = this->standIn.add(parseKeyValues("id=a,slots=1,connections=2,shards=3,index_versions=42+41,mean_us=0")).value();
 };
 
