Judge that each reply says whether the request was run

A reply without Tamarackspan-Run passed the checker, since no rule read the value. Without the check the new test fails: broken(history) is {}, expected { well-formed }.

--- a/packages/testkit/src/history_checker.cpp
+++ b/packages/testkit/src/history_checker.cpp
@@ -119,7 +119,9 @@
     auto judgeCall(const Json &call) -> void
     {
         const auto isQuery = call.at("kind") == "query";
-        if (call.at("run") == "not-run") {
+        const auto &run = call.at("run");
+        this->expect(wellFormed, run == "run" || run == "not-run" || run == "may-have-run", absl::StrCat("no run state in ", call.dump()));
+        if (run == "not-run") {
             this->judgeNotRun(call);
         }
         if (call.at("status") == 200 && isQuery) {
--- a/packages/testkit/tests/history_checker_test.cpp
+++ b/packages/testkit/tests/history_checker_test.cpp
@@ -182,8 +182,13 @@
 {
     auto history = goodHistory();
     history[Refused].erase("run");
+    EXPECT_EQ(broken(history), Rules{"well-formed"});
+    history = goodHistory();
     history[Leaving]["type"] = "gone";
     EXPECT_EQ(broken(history), Rules{"well-formed"});
+    history = goodHistory();
+    history[Query]["run"] = "";
+    EXPECT_EQ(broken(history), Rules{"well-formed"});
 }
 
 } // namespace
