--- a/packages/daemon/src/budget_keeper.cpp
+++ b/packages/daemon/src/budget_keeper.cpp
@@ -16,13 +16,6 @@
     return longest;
 }
 
-auto demandOf(const admission::DemandCounts &counts) -> admission::Demand
-{
-    const auto seconds = absl::ToDoubleSeconds(counts.over);
-    const auto rate = seconds > 0 ? counts.offered / seconds : 0.0;
-    return {rate, static_cast<double>(counts.peakRunning) + counts.refusedConcurrency};
-}
-
 } // namespace
 
 BudgetKeeper::BudgetKeeper(HostIdentity identity, admission::LendingConfig config, const membership::RosterState &roster, AdmissionGate &gate, Sender sender)
@@ -75,7 +68,7 @@
 auto BudgetKeeper::tickCustomer(const base::CustomerName &name, const Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void
 {
     admission::setOwnPart(this->lending, name, this->ownPart(name, customer, now), customer.shared, customer.hold);
-    admission::recordDemand(this->lending, name, demandOf(this->gate.takeDemand(name)));
+    admission::recordDemand(this->lending, name, this->gate.takeDemand(name));
     const auto giveBack = admission::nextReturn(this->lending, name, this->gate.runningOf(name), now);
     this->putInForce(name, now);
     if (giveBack) {
