--- a/packages/query/benches/fleet.cpp
+++ b/packages/query/benches/fleet.cpp
@@ -208,7 +208,7 @@
     }
 
     /// Queries per second that the offered load stands for.
-    auto rate() const -> double
+    [[nodiscard]] auto rate() const -> double
     {
         const auto leafCount = static_cast<double>(this->view->service.leafs.size());
         const auto capacity = leafCount * this->scenario.slots / absl::ToDoubleSeconds(meanService()) / this->scenario.shards;
@@ -363,18 +363,18 @@
         }
     }
 
-    auto isFaulty(std::uint32_t leaf) const -> bool
+    [[nodiscard]] auto isFaulty(std::uint32_t leaf) const -> bool
     {
         return leaf == 0 && this->now - absl::UnixEpoch() >= faultAfter;
     }
 
-    auto isUnreachable(std::uint32_t leaf) const -> bool
+    [[nodiscard]] auto isUnreachable(std::uint32_t leaf) const -> bool
     {
         return this->isFaulty(leaf) && this->scenario.fault == Fault::LostReplica;
     }
 
     /// How much longer than usual a request takes that starts now.
-    auto slowness(std::uint32_t leaf, std::uint64_t draw) const -> double
+    [[nodiscard]] auto slowness(std::uint32_t leaf, std::uint64_t draw) const -> double
     {
         switch (this->scenario.fault) {
         case Fault::SlowLeaf:
--- a/packages/query/tests/query_machine_test.cpp
+++ b/packages/query/tests/query_machine_test.cpp
@@ -38,7 +38,7 @@
     }
 
     /// The last action, which must be the Finish.
-    auto end() const -> const Finish &
+    [[nodiscard]] auto end() const -> const Finish &
     {
         return std::get<Finish>(this->actions.back());
     }
--- a/packages/query/tests/query_world.h
+++ b/packages/query/tests/query_world.h
@@ -75,7 +75,8 @@
         Pin rowsPin;
     };
 
-    auto makeView(std::uint64_t generation, std::uint32_t shards, std::vector<base::IndexVersion> versions) const -> std::shared_ptr<const ServiceView>
+    [[nodiscard]] auto makeView(std::uint64_t generation, std::uint32_t shards, std::vector<base::IndexVersion> versions) const
+        -> std::shared_ptr<const ServiceView>
     {
         return std::make_shared<const ServiceView>(ServiceView{base::Revision{generation}, makeService(shards, this->replicaCount, std::move(versions))});
     }
