--- a/packages/configuration/tests/read_plan_test.cpp
+++ b/packages/configuration/tests/read_plan_test.cpp
@@ -47,6 +47,7 @@
     std::vector<base::HostId> told;
     /// The highest accepted revision seen under each key since the host started.
     std::map<std::string, std::uint64_t> seen;
+    std::uint64_t notedGeneration = 0;
 };
 
 /// Hosts of one data centre on a virtual clock, with a platform that keeps its history.
@@ -76,6 +77,7 @@
     host.calls.clear();
     host.told.clear();
     host.seen.clear();
+    host.notedGeneration = 0;
 }
 
 auto makeFleet(std::size_t hosts, ReadPlanSettings settings = {}, StoreRules rules = {}) -> Fleet
@@ -181,6 +183,9 @@
 
 auto noteReverts(Fleet &fleet, Host &host) -> void
 {
+    if (std::exchange(host.notedGeneration, host.store.generation) == host.store.generation) {
+        return;
+    }
     for (const auto &[key, stored] : host.store.documents) {
         const auto revision = stored.accepted ? stored.accepted->version.revision.get() : 0;
         auto &highest = host.seen[key];
