Report costs and metrics, and keep the cost reports of lost hosts at three others

Cause: the counters of a host that is lost or replaced went with it. Change: each host sends its cumulative report to three holders by hash every second and once before a planned stop; GET /costs gives own and held reports; GET /metrics the text form of Prometheus.

--- a/packages/daemon/include/tamarackspan/daemon/control.h
+++ b/packages/daemon/include/tamarackspan/daemon/control.h
@@ -7,6 +7,7 @@
 #include "tamarackspan/configuration/read_plan.h"
 #include "tamarackspan/daemon/budget_keeper.h"
 #include "tamarackspan/daemon/control_view.h"
+#include "tamarackspan/daemon/cost_keeper.h"
 #include "tamarackspan/daemon/host_identity.h"
 #include "tamarackspan/daemon/lease.h"
 #include "tamarackspan/daemon/platform_reader.h"
@@ -40,7 +41,7 @@
 {
 public:
     Control(transport::EventLoop &loop, const configuration::HostSettings &settings, HostIdentity identity, Lease &lease, AdmissionGate &gate,
-            ControlOutputs outputs);
+            const Accounting &accounting, ControlOutputs outputs);
     ~Control();
     Control(const Control &) = delete;
     auto operator=(const Control &) -> Control & = delete;
@@ -51,6 +52,9 @@
     /// Tells all peers that this host is leaving.
     auto startDraining() -> void;
 
+    /// Gives what this host knows of costs to the hosts that stay, before the process ends.
+    auto handOverCosts() -> void;
+
     /// Returns whether this host may take requests: its configuration is known and its parts are in force.
     [[nodiscard]] auto isReady() -> bool;
 
@@ -58,6 +62,7 @@
     [[nodiscard]] auto documents() const -> const configuration::DocumentStore &;
     [[nodiscard]] auto auditTrail() const -> const configuration::AuditTrail &;
     [[nodiscard]] auto hostListState() const -> const membership::RosterState &;
+    [[nodiscard]] auto costReports() const -> std::vector<costs::CostReport>;
     [[nodiscard]] auto budgets() const -> const BudgetKeeper &;
     [[nodiscard]] auto freshness() const -> configuration::ConfigurationFreshness;
     [[nodiscard]] auto platformCalls() const -> std::uint64_t;
@@ -89,6 +94,8 @@
     auto tickFast() -> void;
     auto tickExchange() -> void;
     auto tickBudgets() -> void;
+    auto tickCosts() -> void;
+    [[nodiscard]] auto listedHosts() const -> std::vector<base::HostId>;
     template<typename T>
     auto sendTo(const base::HostId &host, const T &message) -> void;
 
@@ -105,6 +112,7 @@
     transport::PeerLinks links;
     PlatformReader reader;
     BudgetKeeper budgetKeeper;
+    CostKeeper costKeeper;
     std::unique_ptr<transport::Acceptor> acceptor;
     absl::flat_hash_map<base::HostId, configuration::ExchangePacer> pacers;
     /// When each numbered digest was sent, for the age of what the answer confirms.
--- a/packages/daemon/include/tamarackspan/daemon/status_report.h
+++ b/packages/daemon/include/tamarackspan/daemon/status_report.h
@@ -13,6 +13,9 @@
 /// Returns every accepted and rejected document with its revision.
 [[nodiscard]] auto configurationJson(const Control &control) -> nlohmann::ordered_json;
 
+/// Returns the cost reports that this host made and holds, by incarnation.
+[[nodiscard]] auto costsJson(const Control &control) -> nlohmann::ordered_json;
+
 /// Returns the audit trail, oldest entry first.
 [[nodiscard]] auto auditJson(const Control &control) -> nlohmann::ordered_json;
 
--- a/packages/daemon/src/admin_api.cpp
+++ b/packages/daemon/src/admin_api.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/daemon/caller_reply.h"
 #include "tamarackspan/daemon/status_report.h"
+#include "tamarackspan/metrics/prometheus.h"
 
 #include <utility>
 
@@ -70,13 +71,23 @@
     if (request.path == "/configuration") {
         return jsonResponse(configurationJson(this->control));
     }
+    if (request.path == "/costs") {
+        return jsonResponse(costsJson(this->control));
+    }
+    if (request.path == "/metrics") {
+        this->accounting.setGauge("control_links", static_cast<double>(this->control.openLinks()));
+        this->accounting.setGauge("platform_calls", static_cast<double>(this->control.platformCalls()));
+        this->accounting.setGauge("documents", static_cast<double>(this->control.documents().documents.size()));
+        return {200, {{"Content-Type", metrics::prometheusContentType}}, this->accounting.metricsText()};
+    }
     if (request.path == "/audit") {
         return jsonResponse(auditJson(this->control));
     }
     if (request.path == "/explain") {
         return explain(this->control, request);
     }
-    return refusalResponse({RefusalKind::NotFound, RunState::NotRun, "expected /ready, /status, /configuration, /audit, /explain or POST /drain", {}});
+    return refusalResponse(
+        {RefusalKind::NotFound, RunState::NotRun, "expected /ready, /status, /configuration, /costs, /metrics, /audit, /explain or POST /drain", {}});
 }
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -76,7 +76,7 @@
 } // namespace
 
 Control::Control(transport::EventLoop &loop, const configuration::HostSettings &settings, HostIdentity identity, Lease &lease, AdmissionGate &gate,
-                 ControlOutputs outputs)
+                 const Accounting &accounting, ControlOutputs outputs)
     : loop(loop),
       hostSettings(settings),
       identity(std::move(identity)),
@@ -107,6 +107,10 @@
                     [this](const base::HostId &host, const admission::BudgetReturn &giveBack) {
                         this->sendTo(host, toWire(giveBack));
                     }}),
+      costKeeper(this->identity.host, accounting,
+                 [this](const base::HostId &host, const wire::CostReportT &report) {
+                     this->sendTo(host, report);
+                 }),
       view(std::make_shared<const ControlView>()),
       startedAt(base::monotonicNow())
 {
@@ -142,6 +146,7 @@
     this->tickFast();
     this->tickExchange();
     this->tickBudgets();
+    this->tickCosts();
 }
 
 auto Control::startDraining() -> void
@@ -150,6 +155,11 @@
     this->links.startDraining();
 }
 
+auto Control::handOverCosts() -> void
+{
+    this->costKeeper.handOver(this->listedHosts(), base::monotonicNow());
+}
+
 auto Control::isReady() -> bool
 {
     const auto now = base::monotonicNow();
@@ -194,6 +204,11 @@
     return this->roster;
 }
 
+auto Control::costReports() const -> std::vector<costs::CostReport>
+{
+    return this->costKeeper.reports(base::monotonicNow());
+}
+
 auto Control::budgets() const -> const BudgetKeeper &
 {
     return this->budgetKeeper;
@@ -256,6 +271,8 @@
         this->budgetKeeper.onGrant(fromWire(*grant), now);
     } else if (const auto *giveBack = message.body.AsBudgetReturn()) {
         this->budgetKeeper.onReturn(fromWire(*giveBack), now);
+    } else if (const auto *report = message.body.AsCostReport()) {
+        this->costKeeper.onReport(*report, now);
     }
 }
 
@@ -389,12 +406,9 @@
 
 auto Control::updateWatching() -> void
 {
-    auto hosts = std::vector<base::HostId>{this->identity.host};
-    if (const auto *list = membership::newestList(this->roster)) {
-        hosts.clear();
-        for (const auto &host : list->hosts) {
-            hosts.push_back(host.id);
-        }
+    auto hosts = this->listedHosts();
+    if (hosts.empty()) {
+        hosts.push_back(this->identity.host);
     }
     configuration::setHosts(this->plan, hosts, this->identity.host);
     this->reader.poll();
@@ -525,4 +539,23 @@
     });
 }
 
+auto Control::tickCosts() -> void
+{
+    this->costKeeper.tick(this->listedHosts(), base::monotonicNow());
+    this->loop.runAt(base::monotonicNow() + this->hostSettings.timing.costReport, [this] {
+        this->tickCosts();
+    });
+}
+
+auto Control::listedHosts() const -> std::vector<base::HostId>
+{
+    auto hosts = std::vector<base::HostId>();
+    if (const auto *list = membership::newestList(this->roster)) {
+        for (const auto &host : list->hosts) {
+            hosts.push_back(host.id);
+        }
+    }
+    return hosts;
+}
+
 } // namespace tamarackspan::daemon
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -16,6 +16,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -78,7 +79,7 @@
           accounting(this->identity.incarnation),
           gate(admission::AdmissionConfig()),
           traffic(settings.host.trafficThreads, this->identity, linkTiming(settings.timing), this->lease, this->accounting, ticketOptions()),
-          control(this->controlLoop, settings, this->identity, this->lease, this->gate,
+          control(this->controlLoop, settings, this->identity, this->lease, this->gate, this->accounting,
                   {[this](const ControlViewPtr &view) {
                        this->views.set(view);
                        this->traffic.takeUp(view);
@@ -122,6 +123,19 @@
         return answer->idle && this->gate.pending() == 0;
     }
 
+    auto handOverCosts() -> void
+    {
+        auto done = std::promise<void>();
+        this->controlLoop.post([this, &done] {
+            this->control.handOverCosts();
+            // Once more round the loop, so that what was sent is on its way.
+            this->controlLoop.runAt(base::monotonicNow() + gateInterval, [&done] {
+                done.set_value();
+            });
+        });
+        done.get_future().wait();
+    }
+
     configuration::HostSettings settings;
     HostIdentity identity;
     Lease lease;
@@ -213,6 +227,7 @@
         idle = host.askIdle();
     }
     host.callerApi.refuseAll();
+    host.handOverCosts();
     host.callerServer->stop();
     logger.info("planned stop ends", {{"idle", idle ? "yes" : "no"}});
 }
--- a/packages/daemon/src/status_report.cpp
+++ b/packages/daemon/src/status_report.cpp
@@ -3,6 +3,8 @@
 #include "tamarackspan/admission/budget.h"
 #include "tamarackspan/base/clock.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <algorithm>
 
 namespace tamarackspan::daemon {
@@ -86,6 +88,27 @@
     return {{"documents", std::move(documents)}};
 }
 
+auto costsJson(const Control &control) -> Json
+{
+    auto reports = Json::array();
+    for (const auto &report : control.costReports()) {
+        auto rows = Json::array();
+        for (const auto &[key, counters] : report.table) {
+            rows.push_back({{"customer", key.customer.get()},
+                            {"operation", key.operation.get()},
+                            {"requests", counters.requests},
+                            {"first_leaf_requests", counters.firstLeafRequests},
+                            {"hedges", counters.hedges},
+                            {"retries", counters.retries},
+                            {"cancelled", counters.cancelled},
+                            {"leaf_micros", counters.leafMicros}});
+        }
+        reports.push_back(
+            {{"incarnation", absl::StrCat(absl::Hex(report.incarnation.get()))}, {"age_ms", absl::ToInt64Milliseconds(report.age)}, {"rows", std::move(rows)}});
+    }
+    return {{"reports", std::move(reports)}};
+}
+
 auto auditJson(const Control &control) -> Json
 {
     auto entries = Json::array();
