--- /dev/null
+++ b/packages/ctl/include/tamarackspan/ctl/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace tamarackspan::ctl {
+
+struct AdminAnswer;
+struct CommandLine;
+struct NamedText;
+struct ValidationReport;
+
+} // namespace tamarackspan::ctl
