--- a/packages/http/include/tamarackspan/http/request.h
+++ b/packages/http/include/tamarackspan/http/request.h
@@ -30,9 +30,9 @@
     std::string body{};
     /// The longest from send() to the whole response, waiting for a connection included.
     absl::Duration timeout = absl::Seconds(1);
-    /// Requests with the same pool share connections; by convention "ip:port" of the server. All requests of a pool go to one server.
+    /// The name by which Client::poolCounts() tells of the server's connections. Connections are shared by address and port of the URL, whatever the name.
     std::string pool{};
-    /// The most connections of this pool that may be open at once, idle and closing ones included. The value of the latest request counts.
+    /// The most connections to the server that may be open at once, idle and closing ones included. The value of the latest request counts.
     std::uint32_t maxConnections = 1;
     /// The longest response body in bytes.
     std::size_t maxResponseBytes = std::size_t{16} * 1024 * 1024;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -42,7 +42,6 @@
 /// The requests of one pool.
 struct Pool
 {
-    std::string name{};
     std::uint32_t maxConnections = 1;
     std::deque<RequestId> queue{};
     /// Requests that are with libcurl and have no socket yet.
@@ -90,7 +89,9 @@
     CURLM *multi;
     impl::Connections connections;
     std::vector<Pool> pools;
+    /// By the address and port in the URL, and by the name that requests give.
     absl::flat_hash_map<std::string, std::uint32_t> poolNumbers;
+    absl::flat_hash_map<std::string, std::uint32_t> poolNames;
     absl::flat_hash_map<RequestId, std::unique_ptr<impl::Transfer>> transfers;
     std::vector<impl::EasyHandle> spare;
     RequestId lastId = 0;
@@ -149,12 +150,15 @@
 
 auto Client::Core::poolOf(const Request &request) -> std::uint32_t
 {
-    const auto [found, added] = this->poolNumbers.try_emplace(request.pool, static_cast<std::uint32_t>(this->pools.size()));
+    // libcurl shares connections between all requests to one server, so the server's address is what tells pools apart.
+    const auto [found, added] = this->poolNumbers.try_emplace(impl::authorityOf(request.url), static_cast<std::uint32_t>(this->pools.size()));
     if (added) {
-        this->pools.push_back(Pool{.name = request.pool});
+        this->pools.emplace_back();
     }
-    this->pools[found->second].maxConnections = request.maxConnections;
-    return found->second;
+    const auto number = found->second;
+    this->poolNames[request.pool] = number;
+    this->pools[number].maxConnections = request.maxConnections;
+    return number;
 }
 
 auto Client::Core::send(Request request, Callback callback) -> RequestId
@@ -199,8 +203,8 @@
 
 auto Client::Core::counts(std::string_view name) const -> PoolCounts
 {
-    const auto found = this->poolNumbers.find(std::string(name));
-    if (found == this->poolNumbers.end()) {
+    const auto found = this->poolNames.find(std::string(name));
+    if (found == this->poolNames.end()) {
         return {};
     }
     const auto sockets = this->connections.counts(found->second);
@@ -341,7 +345,7 @@
     auto &transfer = *impl::transferOf(easy);
     const auto pool = transfer.pool;
     if (transfer.fd >= 0) {
-        this->connections.markIdle(transfer.fd, base::monotonicNow());
+        this->connections.markIdle(transfer.fd, transfer.id, base::monotonicNow());
     }
     if (transfer.stop == impl::Stop::NoRoom || transfer.stop == impl::Stop::Stale) {
         this->requeue(transfer);
@@ -376,7 +380,7 @@
     auto *transfer = impl::transferOf(easy);
     if (transfer != nullptr && transfer->fd != fd) {
         core.assign(*transfer, fd);
-        core.connections.markBusy(fd);
+        core.connections.markBusy(fd, transfer->id);
     }
     return 0;
 }
@@ -407,7 +411,7 @@
         transfer.stop = impl::Stop::NoRoom;
         return CURL_SOCKET_BAD;
     }
-    const auto fd = core.connections.open(transfer.pool, address->family, address->socktype, address->protocol);
+    const auto fd = core.connections.open(transfer.pool, transfer.id, address->family, address->socktype, address->protocol);
     if (fd < 0) {
         return CURL_SOCKET_BAD;
     }
--- a/packages/http/src/connections.cpp
+++ b/packages/http/src/connections.cpp
@@ -63,6 +63,13 @@
     return shutBoth ? closedOnBothSides(fd) : discardToEnd(fd);
 }
 
+/// Tells whether there are bytes, an end or an error to be read.
+auto hasInput(int fd) -> bool
+{
+    auto byte = char{0};
+    return recv(fd, &byte, sizeof(byte), MSG_PEEK) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 auto resetOnClose(int fd) -> void
 {
     const auto lingering = linger{.l_onoff = 1, .l_linger = 0};
@@ -88,7 +95,7 @@
     }
 }
 
-auto Connections::open(PoolNumber pool, int family, int type, int protocol) -> int
+auto Connections::open(PoolNumber pool, UserId user, int family, int type, int protocol) -> int
 {
     const auto fd = ::socket(family, type | SOCK_CLOEXEC | SOCK_NONBLOCK, protocol);
     if (fd < 0) {
@@ -100,7 +107,7 @@
     setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
     setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    this->sockets[fd] = Socket{.pool = pool};
+    this->sockets[fd] = Socket{.pool = pool, .user = user};
     ++this->pools[pool].open;
     return fd;
 }
@@ -159,9 +166,11 @@
         this->onIo(fd, events);
         break;
     case SocketState::Idle:
-        // The server closed it, or sent what nobody asked for.
-        this->setState(socket, SocketState::Retiring);
-        this->shutDown(fd, socket);
+        // The server closed it, or sent what nobody asked for; or the event was overtaken and there is nothing to read any longer.
+        if (hasInput(fd)) {
+            this->setState(socket, SocketState::Retiring);
+            this->shutDown(fd, socket);
+        }
         break;
     case SocketState::Retiring:
     case SocketState::Closing:
@@ -235,19 +244,26 @@
     socket.watched = watching;
 }
 
-auto Connections::markBusy(int fd) -> void
+auto Connections::markBusy(int fd, UserId user) -> void
 {
     const auto found = this->sockets.find(fd);
-    if (found != this->sockets.end() && found->second.state == SocketState::Idle) {
+    if (found == this->sockets.end()) {
+        return;
+    }
+    found->second.user = user;
+    if (found->second.state == SocketState::Idle) {
         this->setState(found->second, SocketState::Busy);
     }
 }
 
-auto Connections::markIdle(int fd, absl::Time now) -> void
+auto Connections::markIdle(int fd, UserId user, absl::Time now) -> void
 {
     const auto found = this->sockets.find(fd);
-    if (found != this->sockets.end() && (found->second.state == SocketState::Busy || found->second.state == SocketState::Idle)) {
-        found->second.lastUsed = now;
+    if (found == this->sockets.end() || found->second.user != user) {
+        return;
+    }
+    found->second.lastUsed = now;
+    if (found->second.state == SocketState::Busy) {
         this->setState(found->second, SocketState::Idle);
     }
 }
--- a/packages/http/src/connections.h
+++ b/packages/http/src/connections.h
@@ -37,6 +37,8 @@
 {
 public:
     using PoolNumber = std::uint32_t;
+    /// Names the request that uses a socket.
+    using UserId = std::uint64_t;
     /// Called with what is ready (EPOLLIN and so on) on a socket that libcurl waits for.
     using IoHandler = std::function<void(int fd, std::uint32_t events)>;
     /// Called when a pool has room for one more connection than before.
@@ -55,8 +57,8 @@
     Connections(const Connections &) = delete;
     auto operator=(const Connections &) -> Connections & = delete;
 
-    /// Makes a socket for libcurl; -1 if the system has none left.
-    auto open(PoolNumber pool, int family, int type, int protocol) -> int;
+    /// Makes a socket for libcurl, to be used by the given request first; -1 if the system has none left.
+    auto open(PoolNumber pool, UserId user, int family, int type, int protocol) -> int;
 
     /// Takes back a socket from libcurl: shuts it down, and closes it once the server has closed its side.
     auto giveBack(int fd) -> void;
@@ -64,11 +66,11 @@
     /// Sets the events that libcurl waits for; 0 once it waits for none.
     auto want(int fd, std::uint32_t events) -> void;
 
-    /// Notes that an idle socket carries a request now.
-    auto markBusy(int fd) -> void;
+    /// Notes that a socket carries this request now.
+    auto markBusy(int fd, UserId user) -> void;
 
-    /// Notes that a socket's exchange has ended well and that libcurl keeps it.
-    auto markIdle(int fd, absl::Time now) -> void;
+    /// Notes that the exchange of a request has ended well and that libcurl keeps the socket; it stays busy if libcurl has given it to another request by now.
+    auto markIdle(int fd, UserId user, absl::Time now) -> void;
 
     /// Shuts down the pool's longest idle socket to make room. Returns false if there is none, or if one is being closed already.
     auto retireOldestIdle(PoolNumber pool) -> bool;
@@ -89,6 +91,7 @@
     {
         PoolNumber pool = 0;
         SocketState state = SocketState::Busy;
+        UserId user = 0;
         /// The events watched for in the loop; 0 if not watched.
         std::uint32_t watched = 0;
         /// The events that libcurl waits for.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -45,6 +45,8 @@
 /// States of a TCP connection as the system numbers them; the header that names them can't be included beside that of the longer tcp_info.
 constexpr auto tcpStateClose = 7;
 constexpr auto tcpStateCloseWait = 8;
+/// What the system counts as acknowledged before any byte was sent.
+constexpr auto bytesOfHandshake = 1U;
 constexpr auto eventsPerWait = 64;
 
 /// A request that is coming in.
@@ -144,7 +146,9 @@
     auto info = tcp_info{};
     auto size = socklen_t{sizeof(info)};
     const auto known = getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-    return !known || info.tcpi_state == tcpStateCloseWait || info.tcpi_state == tcpStateClose;
+    // Closed on both sides: by a reset amid the request, unless a response of libmicrohttpd's own went out first.
+    const auto reset = info.tcpi_state == tcpStateClose && info.tcpi_bytes_acked <= bytesOfHandshake;
+    return !known || info.tcpi_state == tcpStateCloseWait || reset;
 }
 
 auto setSocketOptions(int fd) -> void
@@ -190,7 +194,6 @@
     auto dispatch(MHD_Connection *connection, Incoming &incoming) -> MHD_Result;
     auto respond(MHD_Connection *connection, Incoming &incoming) -> MHD_Result;
     auto refuse(MHD_Connection *connection, std::uint32_t status, std::string text) -> MHD_Result;
-    auto takeAcceptQueue() -> void;
     auto isDrained(absl::Time now) -> bool;
     auto answerTheRest() -> void;
     auto watchCallers() -> void;
@@ -425,34 +428,16 @@
     }
 }
 
-auto Server::Core::takeAcceptQueue() -> void
-{
-    auto address = sockaddr_storage{};
-    for (;;) {
-        auto size = socklen_t{sizeof(address)};
-        const auto fd = accept4(this->listener.fd, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            return;
-        }
-        MHD_add_connection(this->daemon, fd, reinterpret_cast<const sockaddr *>(&address), size);
-    }
-}
-
 auto Server::Core::stopAccepting() -> void
 {
     this->draining = true;
     if (this->daemon == nullptr || !std::exchange(this->accepting, false)) {
         return;
     }
+    // MHD_quiesce_daemon isn't called: its calling thread and those of the pool may both take the socket out of their epoll sets, which stops the process. New
+    // attempts are ignored, and refused once the socket is closed; libmicrohttpd accepts those that the system had accepted.
     impl::ignoreNewConnections(this->listener.fd);
-    MHD_quiesce_daemon(this->daemon);
-    const auto limit = base::monotonicNow() + acceptGrace;
-    while (base::monotonicNow() < limit) {
-        this->takeAcceptQueue();
-        absl::SleepFor(drainStep);
-    }
-    // The descriptor stays open until libmicrohttpd's threads have ended; from now on the system refuses connections.
-    ::shutdown(this->listener.fd, SHUT_RD);
+    absl::SleepFor(acceptGrace);
 }
 
 auto Server::Core::isDrained(absl::Time now) -> bool
@@ -494,14 +479,17 @@
             absl::SleepFor(drainStep);
         }
         this->answerTheRest();
+        // Closes the listening socket too.
         MHD_stop_daemon(std::exchange(this->daemon, nullptr));
+    } else {
+        close(this->listener.fd);
     }
     const auto one = std::uint64_t{1};
     std::ignore = write(this->wakeFd, &one, sizeof(one));
     this->watcher.join();
     close(this->watchFd);
     close(this->wakeFd);
-    close(std::exchange(this->listener.fd, -1));
+    this->listener.fd = -1;
 }
 
 Server::Server(ServerOptions options, Handler handler)
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -59,9 +59,9 @@
     if (!absl::StartsWith(absl::string_view(url.data(), url.size()), scheme)) {
         return false;
     }
-    const auto authority = url.substr(scheme.size(), url.find_first_of("/?#", scheme.size()) - scheme.size());
+    const auto authority = authorityOf(url);
     const auto portAt = authority.find(':', authority.starts_with('[') ? authority.find(']') : 0);
-    return isIpAddress(authority.substr(0, portAt));
+    return isIpAddress(std::string_view(authority).substr(0, portAt));
 }
 
 auto isPlainHeader(const Header &header) -> bool
@@ -161,6 +161,12 @@
 
 } // namespace
 
+auto authorityOf(std::string_view url) -> std::string
+{
+    const auto start = std::min(scheme.size(), url.size());
+    return std::string(url.substr(start, url.find_first_of("/?#", start) - start));
+}
+
 auto isValid(const Request &request) -> bool
 {
     const auto known = std::find(methods.begin(), methods.end(), request.method) != methods.end();
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace tamarackspan::http::impl {
 
@@ -66,6 +67,9 @@
 /// Tells whether libcurl would send this request: a known method, an http URL and an IP address as its host.
 [[nodiscard]] auto isValid(const Request &request) -> bool;
 
+/// Returns the address and port of a valid URL.
+[[nodiscard]] auto authorityOf(std::string_view url) -> std::string;
+
 /// Makes an easy handle with everything that all transfers share.
 [[nodiscard]] auto makeEasy(const ClientOptions &options) -> EasyHandle;
 
