--- a/packages/daemon/include/tamarackspan/daemon/admission_gate.h
+++ b/packages/daemon/include/tamarackspan/daemon/admission_gate.h
@@ -24,7 +24,7 @@
     explicit AdmissionGate(const admission::AdmissionConfig &config);
 
     /// Offers a request; its token is set here. The handler is called from within this call, or later from another thread.
-    auto offer(admission::Request request, DecisionHandler handler) -> void;
+    auto offer(admission::Request request, const DecisionHandler &handler) -> void;
 
     /// Takes down that an admitted request has ended.
     auto finished(admission::RequestToken token) -> void;
--- a/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
+++ b/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
@@ -63,7 +63,7 @@
 
     [[nodiscard]] auto isQuiet(const base::CustomerName &name) const -> bool;
     auto tickCustomer(const base::CustomerName &name, Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void;
-    auto ownPart(const base::CustomerName &name, const Customer &customer, absl::Time now) const -> admission::OwnPart;
+    [[nodiscard]] auto ownPart(const base::CustomerName &name, const Customer &customer, absl::Time now) const -> admission::OwnPart;
     auto putInForce(const base::CustomerName &customer, absl::Time now) -> void;
     auto ask(const base::CustomerName &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void;
 
--- a/packages/daemon/include/tamarackspan/daemon/traffic_threads.h
+++ b/packages/daemon/include/tamarackspan/daemon/traffic_threads.h
@@ -24,7 +24,7 @@
     auto operator=(const TrafficThreads &) -> TrafficThreads & = delete;
 
     /// Lets all threads go by a new view.
-    auto takeUp(ControlViewPtr view) -> void;
+    auto takeUp(const ControlViewPtr &view) -> void;
 
     /// Gives a connection that a peer opened to one of the threads.
     auto adopt(transport::FrameConnection::Detached detached, wire::HelloT hello) -> void;
@@ -50,7 +50,7 @@
 private:
     struct Lane;
 
-    auto laneOf(const base::LeafId &leaf) const -> std::uint32_t;
+    [[nodiscard]] auto laneOf(const base::LeafId &leaf) const -> std::uint32_t;
     auto submitLeaf(std::uint32_t fromThread, LeafWork work) -> LeafWorkHandle;
     auto cancelLeaf(LeafWorkHandle handle) -> void;
     auto forwardExecute(std::uint32_t fromThread, wire::ExecuteForwardT forward, ExecuteRunner::ResultHandler reply) -> void;
--- a/packages/daemon/src/admission_gate.cpp
+++ b/packages/daemon/src/admission_gate.cpp
@@ -12,7 +12,7 @@
 {
 }
 
-auto AdmissionGate::offer(admission::Request request, DecisionHandler handler) -> void
+auto AdmissionGate::offer(admission::Request request, const DecisionHandler &handler) -> void
 {
     request.token = admission::RequestToken(++this->lastToken);
     auto decision = admission::Decision();
@@ -21,7 +21,7 @@
         this->active.insert(request.customer);
         decision = admission::offer(this->state, request, base::monotonicNow());
         if (std::holds_alternative<admission::Queued>(decision)) {
-            this->waiting.emplace(request.token, std::move(handler));
+            this->waiting.emplace(request.token, handler);
             return;
         }
     }
--- a/packages/daemon/src/traffic_threads.cpp
+++ b/packages/daemon/src/traffic_threads.cpp
@@ -74,7 +74,7 @@
     }
 }
 
-auto TrafficThreads::takeUp(ControlViewPtr view) -> void
+auto TrafficThreads::takeUp(const ControlViewPtr &view) -> void
 {
     for (const auto &lane : this->lanes) {
         lane->loop.post([worker = lane->worker.get(), view] {
