--- a/packages/daemon/src/leaf_http.cpp
+++ b/packages/daemon/src/leaf_http.cpp
@@ -95,6 +95,18 @@
     return textOf(response, "Request") == work.requestName && textOf(response, "Shard") == std::to_string(work.shard.get());
 }
 
+/// A reply without the protocol's headers, such as the bare error of an HTTP server. It names no other request, so it is the reply to the one sent on its
+/// connection, and the leaf has done with that.
+auto bareResponse() -> LeafResponse
+{
+    auto result = LeafResponse();
+    result.reply.run = RunState::MayHaveRun;
+    result.reply.reachedLeaf = true;
+    result.reply.reason = "the leaf's reply has no headers of the protocol";
+    result.end = routing::RunEnd::Failed;
+    return result;
+}
+
 auto crossedResponse() -> LeafResponse
 {
     auto result = LeafResponse();
@@ -149,6 +161,9 @@
     if (response.outcome != http::Outcome::Ok) {
         return transportFailure(response);
     }
+    if (http::findHeader(response.headers, headerName("Request")) == nullptr) {
+        return bareResponse();
+    }
     if (!isReplyTo(work, response)) {
         return crossedResponse();
     }
--- a/packages/routing/include/tamarackspan/routing/leaf_queue.h
+++ b/packages/routing/include/tamarackspan/routing/leaf_queue.h
@@ -89,6 +89,8 @@
     Declined,
     /// The connection failed. The leaf may still be running the request, so that its slot stays taken until the grace time is over.
     ConnectionLost,
+    /// The leaf replied, but not as the protocol says: the request is over at the leaf, and nothing is learned from how long it took.
+    Failed,
 };
 
 /// The settings of a leaf's queue.
