Retry for free what a leaving leaf declined

Cause: a request that reached a leaf after it began to leave was sent to another replica only if the operation's extra load paid for it. With the budget used up by hedges, or of 0, the query lost the shard, although another replica held it and no leaf had run anything. The retry takes the place of the declined request, and comes at most once for each request that was on its way, so that it can't amplify load. Retries after shedding and failures still pay.

--- a/packages/query/src/query_machine.cpp
+++ b/packages/query/src/query_machine.cpp
@@ -206,8 +206,16 @@
     NotPaid,
 };
 
+/// Whether a further leaf request counts against the operation's extra load.
+enum class ExtraPayment {
+    Paid,
+    /// For a request that a leaving leaf declined without running it: it comes once for each request that was on its way when the leaf said so, and in its
+    /// place.
+    Free,
+};
+
 /// Sends the shard's request to another replica if policy and budget allow it.
-auto sendExtra(Call &call, std::uint32_t index, SendReason reason) -> ExtraResult
+auto sendExtra(Call &call, std::uint32_t index, SendReason reason, ExtraPayment payment = ExtraPayment::Paid) -> ExtraResult
 {
     const auto &policy = call.state.request.policy;
     if (call.state.shards[index].attempts >= policy.maxAttemptsPerShard) {
@@ -217,7 +225,7 @@
     if (!leaf.has_value()) {
         return ExtraResult::NoneLeft;
     }
-    if (policy.checks.extraLoad && !payExtraLoad(call.context.extraLoad)) {
+    if (payment == ExtraPayment::Paid && policy.checks.extraLoad && !payExtraLoad(call.context.extraLoad)) {
         return ExtraResult::NotPaid;
     }
     send(call, index, *leaf, reason);
@@ -269,7 +277,7 @@
 }
 
 /// Goes on with a shard one of whose attempts ended without rows.
-auto goOn(Call &call, std::uint32_t index) -> void
+auto goOn(Call &call, std::uint32_t index, ExtraPayment payment) -> void
 {
     auto &shard = call.state.shards[index];
     if (isSettled(shard)) {
@@ -279,7 +287,7 @@
         shard.hedgeAt = call.state.request.policy.hedge ? call.now + hedgeDelay(call, index) : absl::InfiniteFuture();
         return;
     }
-    if (call.state.request.policy.retry && sendExtra(call, index, SendReason::Retry) == ExtraResult::Sent) {
+    if (call.state.request.policy.retry && sendExtra(call, index, SendReason::Retry, payment) == ExtraResult::Sent) {
         return;
     }
     const auto notHeld = shard.notHeld;
@@ -406,7 +414,7 @@
         return;
     }
     shard.notHeld = shard.notHeld || outcome == LeafOutcome::NotHeld;
-    goOn(call, attempt.shardIndex);
+    goOn(call, attempt.shardIndex, outcome == LeafOutcome::Draining ? ExtraPayment::Free : ExtraPayment::Paid);
 }
 
 auto onTimer(QueryState &state, QueryContext &context, absl::Time now, std::vector<Action> &actions) -> void
--- /dev/null
+++ b/tests/answers/leaving_test.cpp
@@ -0,0 +1,117 @@
+#include "deployment.h"
+
+#include "tamarackspan/base/clock.h"
+#include "tamarackspan/testkit/history.h"
+
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace tamarackspan::answers {
+namespace {
+
+auto leavingNow(const std::string &leaf) -> Json
+{
+    return {{"type", "leaving"}, {"leaf", leaf}, {"at", testkit::historyTime(base::monotonicNow())}};
+}
+
+TEST(LeavingTest, APublishedLeafGetsNoNewWorkAfterThreeSeconds)
+{
+    auto deployment = Deployment(2);
+    deployment.start();
+    auto options = deployment.load("strict", {0, 1}, 4601);
+    options.duration = absl::Seconds(6);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        auto service = PublishedService();
+        service.leaving = {1};
+        deployment.note(leavingNow("l1"));
+        deployment.publishService(service);
+    });
+    deployment.check({"leaving-leaf", "one-snapshot", "true-coverage"});
+    // A planned leave costs no caller its answer.
+    EXPECT_EQ(deployment.answersOf(options.caller).size(), deployment.callsOf(options.caller).size());
+}
+
+/// One host is paused before the publication and wakes after the bound has passed, with the work of its callers in its queues.
+TEST(LeavingTest, AHostThatWokeSendsNoNewWorkToAPublishedLeaf)
+{
+    auto deployment = Deployment(2);
+    deployment.start();
+    auto first = deployment.load("labelled", {0, 1}, 4602);
+    first.inFlight = 24;
+    first.duration = absl::Seconds(7);
+    first.timeout = absl::Seconds(6);
+    deployment.drive(first, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        deployment.fleet.process(1).signal(SIGSTOP);
+        auto service = PublishedService();
+        service.leaving = {1};
+        deployment.note(leavingNow("l1"));
+        deployment.publishService(service);
+        absl::SleepFor(absl::Milliseconds(3500));
+        deployment.fleet.process(1).signal(SIGCONT);
+    });
+    auto after = deployment.load("labelled", {0, 1}, 4603);
+    after.duration = absl::Seconds(2);
+    deployment.drive(after);
+    deployment.check({"leaving-leaf", "one-snapshot", "true-coverage"});
+    EXPECT_FALSE(deployment.answersOf(after.caller).empty());
+}
+
+/// How many requests the leaf got after its first refusal as draining. Each had been sent when its owner hadn't yet read that refusal.
+auto requestsAfterFirstRefusal(const std::vector<Json> &history, const std::string &leaf) -> std::size_t
+{
+    auto firstEnded = INT64_MAX;
+    for (const auto &record : history) {
+        if (record["type"] == "leaf" && record["leaf"] == leaf && record["outcome"] == "draining") {
+            firstEnded = std::min(firstEnded, record["ended"].get<std::int64_t>());
+        }
+    }
+    return static_cast<std::size_t>(std::count_if(history.begin(), history.end(), [&](const Json &record) {
+        return record["type"] == "leaf" && record["leaf"] == leaf && record["arrived"] > firstEnded;
+    }));
+}
+
+TEST(LeavingTest, ALeafThatSaysItDrainsGetsNoMoreThanWasOnItsWay)
+{
+    constexpr auto slots = 4;
+    auto deployment = Deployment(2);
+    // No hedges and no paid retries: what the leaf declines must go elsewhere all the same.
+    deployment.publishContract({.deadlineMs = 2000, .extraLoadPermille = 0});
+    deployment.start();
+    auto options = deployment.load("strict", {0, 1}, 4604);
+    options.duration = absl::Seconds(4);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        EXPECT_TRUE(deployment.fleet.controlLeaf("l1", {{"draining", true}}).ok());
+    });
+    deployment.check({"leaving-leaf", "one-snapshot", "true-coverage"});
+    // Each owner can have filled its part of the slots before it read its first refusal.
+    EXPECT_LE(requestsAfterFirstRefusal(deployment.fleet.leafHistory(), "l1"), slots);
+    EXPECT_EQ(deployment.answersOf(options.caller).size(), deployment.callsOf(options.caller).size());
+}
+
+TEST(LeavingTest, AHostThatWokeSendsOnlyWhatItHadReadyToALeafThatSaidItDrains)
+{
+    constexpr auto slots = 4;
+    auto deployment = Deployment(2);
+    deployment.start();
+    auto options = deployment.load("labelled", {0, 1}, 4605);
+    options.inFlight = 24;
+    options.duration = absl::Seconds(6);
+    options.timeout = absl::Seconds(5);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        deployment.fleet.process(1).signal(SIGSTOP);
+        EXPECT_TRUE(deployment.fleet.controlLeaf("l1", {{"draining", true}}).ok());
+        absl::SleepFor(absl::Seconds(2));
+        deployment.fleet.process(1).signal(SIGCONT);
+    });
+    EXPECT_LE(requestsAfterFirstRefusal(deployment.fleet.leafHistory(), "l1"), slots);
+    deployment.check({"one-snapshot", "true-coverage"});
+}
+
+} // namespace
+} // namespace tamarackspan::answers
