--- a/packages/daemon/src/answer.cpp
+++ b/packages/daemon/src/answer.cpp
@@ -12,6 +12,32 @@
     return a.score != b.score ? a.score > b.score : a.key < b.key;
 }
 
+/// Reading deeper nesting back and forth would use up a thread's stack.
+constexpr auto maxNesting = std::uint32_t{64};
+
+/// True if arrays and objects are nested no deeper than maxNesting. Brackets in texts don't count.
+auto isNestedWithinLimit(const std::string &body) -> bool
+{
+    auto depth = std::uint32_t{0};
+    auto inText = false;
+    for (auto at = std::size_t{0}; at < body.size(); ++at) {
+        const auto letter = body[at];
+        if (inText) {
+            at += letter == '\\' ? 1 : 0;
+            inText = letter != '"';
+        } else if (letter == '"') {
+            inText = true;
+        } else if (letter == '[' || letter == '{') {
+            if (++depth > maxNesting) {
+                return false;
+            }
+        } else if (letter == ']' || letter == '}') {
+            depth -= depth > 0 ? 1 : 0;
+        }
+    }
+    return true;
+}
+
 auto isRow(const nlohmann::ordered_json &value) -> bool
 {
     if (!value.is_object()) {
@@ -26,6 +52,9 @@
 
 auto parseRows(const std::string &body) -> std::optional<std::vector<Row>>
 {
+    if (!isNestedWithinLimit(body)) {
+        return std::nullopt;
+    }
     auto parsed = nlohmann::ordered_json::parse(body, nullptr, false);
     if (!parsed.is_array() || !std::all_of(parsed.begin(), parsed.end(), isRow)) {
         return std::nullopt;
