Take silent hosts out of those that share the watching

Cause: the reading plan was told of all listed hosts, also dead ones, though it wants the reachable ones. Where both watchers were dead the others read the platform only as stand-ins, a lone one every 10 s to 20 s. Now a peer that is asked all the time and was silent for two peer timeouts isn't counted. In a large data centre a host knows this of its neighbours alone; there the stand-ins remain.

--- a/packages/daemon/include/tamarackspan/daemon/control.h
+++ b/packages/daemon/include/tamarackspan/daemon/control.h
@@ -72,6 +72,13 @@
     [[nodiscard]] auto isDraining() const -> bool;
 
 private:
+    /// When a peer was asked and heard.
+    struct PeerContact
+    {
+        absl::Time askedFirst;
+        absl::Time lastHeard;
+    };
+
     [[nodiscard]] auto holdsItsPart(absl::Time now) const -> bool;
     auto onMessage(const transport::LinkPtr &link, wire::MessageT message) -> void;
     auto onDigest(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void;
@@ -86,6 +93,8 @@
     auto onHostListConfirmed(absl::Time confirmedAt) -> void;
     auto recordHostList(absl::Time confirmedAt) -> void;
     auto renewLease() -> void;
+    /// True if a host that is asked all the time hasn't answered for long.
+    [[nodiscard]] auto isSilent(const base::HostId &host, absl::Time now) const -> bool;
     auto updateWatching() -> void;
     auto publishIfChanged() -> void;
     auto publishView() -> void;
@@ -115,6 +124,10 @@
     CostKeeper costKeeper;
     std::unique_ptr<transport::Acceptor> acceptor;
     absl::flat_hash_map<base::HostId, configuration::ExchangePacer> pacers;
+    /// The peers that are asked.
+    absl::flat_hash_map<base::HostId, PeerContact> peerContacts;
+    /// The hosts that the reading plan was last told of.
+    std::vector<base::HostId> watchingHosts;
     /// When each numbered digest was sent, for the age of what the answer confirms.
     absl::flat_hash_map<std::uint64_t, absl::Time> asked;
     std::uint64_t lastQuestion = 0;
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -291,6 +291,9 @@
 auto Control::onDigest(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void
 {
     const auto now = base::monotonicNow();
+    if (const auto contact = this->peerContacts.find(link->host()); contact != this->peerContacts.end()) {
+        contact->second.lastHeard = now;
+    }
     const auto peer = fromWire(digest);
     const auto scope = configuration::differingScope(this->store, peer);
     configuration::onPeerDigest(this->plan, peer, !scope.has_value(), now);
@@ -404,14 +407,28 @@
     this->lease.setUntil(confirmedAt == absl::InfinitePast() ? absl::UnixEpoch() : confirmedAt + this->roster.config.lease);
 }
 
+auto Control::isSilent(const base::HostId &host, absl::Time now) const -> bool
+{
+    const auto peer = this->peerContacts.find(host);
+    const auto patience = 2 * this->hostSettings.timing.peerTimeout;
+    return peer != this->peerContacts.end() && now - std::max(peer->second.askedFirst, peer->second.lastHeard) > patience;
+}
+
 auto Control::updateWatching() -> void
 {
+    const auto now = base::monotonicNow();
     auto hosts = this->listedHosts();
+    std::erase_if(hosts, [this, now](const base::HostId &host) {
+        return host != this->identity.host && this->isSilent(host, now);
+    });
     if (hosts.empty()) {
         hosts.push_back(this->identity.host);
     }
-    configuration::setHosts(this->plan, hosts, this->identity.host);
-    this->reader.poll();
+    if (hosts != this->watchingHosts) {
+        this->watchingHosts = hosts;
+        configuration::setHosts(this->plan, hosts, this->identity.host);
+        this->reader.poll();
+    }
 }
 
 auto Control::peersToAsk() const -> std::vector<base::HostId>
@@ -441,7 +458,13 @@
     const auto number = ++this->lastQuestion;
     this->asked[number] = base::monotonicNow();
     this->asked.erase(number - std::min<std::uint64_t>(number, maxQuestions / 2));
-    for (const auto &peer : this->peersToAsk()) {
+    const auto peers = this->peersToAsk();
+    // A host that is asked no longer isn't known to be silent.
+    absl::erase_if(this->peerContacts, [&peers](const auto &contact) {
+        return std::find(peers.begin(), peers.end(), contact.first) == peers.end();
+    });
+    for (const auto &peer : peers) {
+        this->peerContacts.try_emplace(peer, PeerContact{base::monotonicNow(), absl::InfinitePast()});
         if (const auto link = this->links.to(peer)) {
             this->sendDigest(link, number, false);
         }
@@ -524,6 +547,7 @@
 auto Control::tickExchange() -> void
 {
     this->askPeers();
+    this->updateWatching();
     this->loop.runAt(base::monotonicNow() + this->hostSettings.timing.heartbeat, [this] {
         this->tickExchange();
     });
