--- a/packages/configuration/src/read_plan.cpp
+++ b/packages/configuration/src/read_plan.cpp
@@ -236,7 +236,11 @@
     auto watched = std::size_t{0};
     for (auto &reading : plan.prefixes) {
         const auto watchers = chooseWatchers(reading.prefix, hosts, watchersPerPrefix);
-        reading.watched = std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+        const auto watchedBefore = std::exchange(reading.watched, std::find(watchers.begin(), watchers.end(), self) != watchers.end());
+        if (reading.watched && !watchedBefore && reading.everListed && reading.failures == 0) {
+            // The wait was that of a host that only stands in for the watchers.
+            reading.notBefore = absl::InfinitePast();
+        }
         watched += reading.watched ? 1 : 0;
     }
     plan.budget.limits.perSecond = readRate(hosts.size(), watchersPerPrefix, watched);
