Keep calls of the read budget for changes when the host list is read all the time

Cause: the host list is watched for a third of the lease, more often than the budget allows once the first 128 calls are spent; it took each call that came to the account, and a value that was listed could never be fetched by a watcher. Its watch now leaves 32 calls for others.

--- a/packages/configuration/include/tamarackspan/configuration/read_budget.h
+++ b/packages/configuration/include/tamarackspan/configuration/read_budget.h
@@ -34,7 +34,7 @@
 /// Returns a full budget.
 [[nodiscard]] auto makeReadBudget(const ReadBudgetLimits &limits, absl::Time now) -> ReadBudget;
 
-/// Takes one call if there is one; false otherwise. A time before the last one adds nothing.
-[[nodiscard]] auto takeRead(ReadBudget &budget, absl::Time now) -> bool;
+/// Takes one call if so many are left after it; false otherwise. A time before the last one adds nothing.
+[[nodiscard]] auto takeRead(ReadBudget &budget, absl::Time now, double kept = 0) -> bool;
 
 } // namespace tamarackspan::configuration
--- a/packages/configuration/include/tamarackspan/configuration/read_plan.h
+++ b/packages/configuration/include/tamarackspan/configuration/read_plan.h
@@ -47,6 +47,8 @@
     /// Configuration that was confirmed within this time counts as confirmed.
     absl::Duration confirmedWindow = absl::Seconds(30);
     ReadBudgetLimits budget;
+    /// Calls that the watch of the host list leaves in the budget for other lists and for fetches.
+    double keptForChanges = 32;
     /// Fetches that run at once.
     std::uint32_t fetchesAtOnce = 8;
     /// False only in tests: reads as often as the waits allow.
--- a/packages/configuration/src/read_budget.cpp
+++ b/packages/configuration/src/read_budget.cpp
@@ -20,14 +20,14 @@
     return {limits, limits.burst, now};
 }
 
-auto takeRead(ReadBudget &budget, absl::Time now) -> bool
+auto takeRead(ReadBudget &budget, absl::Time now, double kept) -> bool
 {
     if (now > budget.countedAt) {
         const auto earned = absl::ToDoubleSeconds(now - budget.countedAt) * budget.limits.perSecond;
         budget.left = std::min(budget.limits.burst, budget.left + earned);
         budget.countedAt = now;
     }
-    if (budget.left < 1) {
+    if (budget.left < 1 + kept) {
         return false;
     }
     budget.left -= 1;
--- a/packages/configuration/src/read_plan.cpp
+++ b/packages/configuration/src/read_plan.cpp
@@ -86,9 +86,15 @@
     });
 }
 
-auto mayCall(ReadPlan &plan, absl::Time now) -> bool
+auto mayCall(ReadPlan &plan, absl::Time now, double kept = 0) -> bool
 {
-    return !plan.settings.keepsBudget || takeRead(plan.budget, now);
+    return !plan.settings.keepsBudget || takeRead(plan.budget, now, kept);
+}
+
+/// What a list leaves of the budget. The host list is read again and again for the lease, and would take every call that comes to the account.
+auto keptFrom(const ReadPlan &plan, const PrefixReading &reading) -> double
+{
+    return reading.everListed && &reading == &plan.prefixes.back() ? plan.settings.keptForChanges : 0;
 }
 
 auto startList(const ReadPlan &plan, PrefixReading &reading, absl::Time now) -> ListPrefix
@@ -105,7 +111,7 @@
 {
     for (auto &reading : plan.prefixes) {
         const auto wanted = reading.watched || !reading.everListed || peersSilent(plan, now) || isUnwatched(plan, reading, now);
-        if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now)) {
+        if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now, keptFrom(plan, reading))) {
             actions.emplace_back(startList(plan, reading, now));
         }
     }
--- a/packages/configuration/tests/read_plan_test.cpp
+++ b/packages/configuration/tests/read_plan_test.cpp
@@ -408,6 +408,41 @@
     EXPECT_EQ(fleet.reverts, 0U);
 }
 
+/// True if a change is fetched within 5 s after the host list was read for an hour as often as the budget allows.
+auto isFetchedThoughTheHostListIsReadAllTheTime(const ReadPlanSettings &settings) -> bool
+{
+    auto now = absl::UnixEpoch();
+    auto store = DocumentStore{};
+    store.dataCentre = base::DataCentre("a");
+    auto plan = makeReadPlan(settings, store.dataCentre, 20261204, now);
+    setHosts(plan, {base::HostId("h1"), base::HostId("h2")}, base::HostId("h1"));
+    auto answers = std::multimap<absl::Time, std::string>{};
+    auto fetched = false;
+    const auto runUntil = [&](absl::Time end, base::Revision revision, const std::vector<ListedKey> &contracts) {
+        for (; now < end; now += step) {
+            for (; !answers.empty() && answers.begin()->first <= now; answers.erase(answers.begin())) {
+                const auto &prefix = answers.begin()->second;
+                onListed(plan, store, prefix, revision, prefix == "contracts/" ? contracts : std::vector<ListedKey>{}, now);
+            }
+            for (const auto &action : planReads(plan, store, now)) {
+                if (const auto *list = std::get_if<ListPrefix>(&action)) {
+                    answers.emplace(list->prefix == "hosts/a" ? now : now + list->wait, list->prefix);
+                }
+                fetched = fetched || std::holds_alternative<FetchValue>(action);
+            }
+        }
+    };
+    runUntil(now + absl::Hours(1), base::Revision(1), {});
+    onListed(plan, store, "contracts/", base::Revision(2), {{"contracts/x", base::Revision(2)}}, now);
+    runUntil(now + absl::Seconds(5), base::Revision(2), {{"contracts/x", base::Revision(2)}});
+    return fetched;
+}
+
+TEST(ReadPlan, HostListReadsLeaveCallsForChanges)
+{
+    EXPECT_TRUE(isFetchedThoughTheHostListIsReadAllTheTime({}));
+}
+
 TEST(ReadPlan, AHostThatIsAloneSaysWhatItCannotKnow)
 {
     auto fleet = makeFleet(1);
