--- a/packages/configuration/src/read_plan.cpp
+++ b/packages/configuration/src/read_plan.cpp
@@ -86,9 +86,15 @@
     });
 }
 
-auto mayCall(ReadPlan &plan, absl::Time now) -> bool
+auto mayCall(ReadPlan &plan, absl::Time now, double kept = 0) -> bool
 {
-    return !plan.settings.keepsBudget || takeRead(plan.budget, now);
+    return !plan.settings.keepsBudget || takeRead(plan.budget, now, kept);
+}
+
+/// What a list leaves of the budget. The host list is read again and again for the lease, and would take every call that comes to the account.
+auto keptFrom(const ReadPlan &plan, const PrefixReading &reading) -> double
+{
+    return reading.everListed && &reading == &plan.prefixes.back() ? plan.settings.keptForChanges : 0;
 }
 
 auto startList(const ReadPlan &plan, PrefixReading &reading, absl::Time now) -> ListPrefix
@@ -105,7 +111,7 @@
 {
     for (auto &reading : plan.prefixes) {
         const auto wanted = reading.watched || !reading.everListed || peersSilent(plan, now) || isUnwatched(plan, reading, now);
-        if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now)) {
+        if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now, keptFrom(plan, reading))) {
             actions.emplace_back(startList(plan, reading, now));
         }
     }
@@ -236,7 +242,11 @@
     auto watched = std::size_t{0};
     for (auto &reading : plan.prefixes) {
         const auto watchers = chooseWatchers(reading.prefix, hosts, watchersPerPrefix);
-        reading.watched = std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+        const auto watchedBefore = std::exchange(reading.watched, std::find(watchers.begin(), watchers.end(), self) != watchers.end());
+        if (reading.watched && !watchedBefore && reading.everListed && reading.failures == 0) {
+            // The wait was that of a host that only stands in for the watchers.
+            reading.notBefore = absl::InfinitePast();
+        }
         watched += reading.watched ? 1 : 0;
     }
     plan.budget.limits.perSecond = readRate(hosts.size(), watchersPerPrefix, watched);
