--- a/packages/admission/benches/overload_bench.cpp
+++ b/packages/admission/benches/overload_bench.cpp
@@ -218,7 +218,7 @@
         const auto &routine = run.counts[{customer, contracts::Priority::Routine}];
         std::printf("%-18s %5.1f %10.3f %10.1f %10.1f %8llu %10llu %10llu\n", name, load, static_cast<double>(urgent.good + routine.good) / 30 / capacity,
                     percentile(urgent.milliseconds, 0.99), percentile(routine.milliseconds, 0.99),
-                    static_cast<unsigned long long>(urgent.refused + urgent.late), static_cast<unsigned long long>(routine.refused),
+                    static_cast<unsigned long long>(urgent.refused) + urgent.late, static_cast<unsigned long long>(routine.refused),
                     static_cast<unsigned long long>(routine.late));
     }
 }
@@ -238,7 +238,7 @@
         const auto &routine = run.counts[{quiet, contracts::Priority::Routine}];
         all.milliseconds.insert(all.milliseconds.end(), routine.milliseconds.begin(), routine.milliseconds.end());
         std::printf("%4.1f times its contract      %12.2f %12llu\n", times, percentile(all.milliseconds, 0.99),
-                    static_cast<unsigned long long>(all.refused + routine.refused));
+                    static_cast<unsigned long long>(all.refused) + routine.refused);
     }
 }
 
--- a/packages/daemon/include/tamarackspan/daemon/leaf_owner.h
+++ b/packages/daemon/include/tamarackspan/daemon/leaf_owner.h
@@ -50,7 +50,7 @@
     auto refreshShares() -> void;
     auto refreshShare(LeafRecord &record, absl::Time now) -> void;
     auto scheduleRefresh() -> void;
-    auto perform(LeafRecord &record, std::vector<routing::QueueAction> actions) -> void;
+    auto perform(LeafRecord &record, const std::vector<routing::QueueAction> &actions) -> void;
     auto dispatch(LeafRecord &record, routing::QueueRequestId id) -> void;
     auto reject(routing::QueueRequestId id, routing::QueueRejection why) -> void;
     auto cancelAtLeaf(LeafRecord &record, routing::QueueRequestId id) -> void;
--- a/packages/daemon/include/tamarackspan/daemon/query_runner.h
+++ b/packages/daemon/include/tamarackspan/daemon/query_runner.h
@@ -65,7 +65,7 @@
 
     auto serviceState(const base::ServiceName &service) -> ServiceState &;
     auto contextOf(RunningQuery &query) -> query::QueryContext;
-    auto perform(const RunningPtr &query, std::vector<query::Action> actions) -> void;
+    auto perform(const RunningPtr &query, const std::vector<query::Action> &actions) -> void;
     auto send(const RunningPtr &query, const query::SendAttempt &attempt) -> void;
     static auto kindOf(const RunningQuery &query, const query::SendAttempt &attempt) -> AttemptKind;
     [[nodiscard]] auto ownersToTry(const RunningQuery &query, const base::LeafId &leaf) const -> std::vector<base::HostId>;
--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -178,7 +178,7 @@
     } else if (record.queue.draining) {
         routing::resume(record.queue);
     }
-    this->perform(record, std::move(actions));
+    this->perform(record, actions);
 }
 
 auto LeafOwner::submit(LeafWorkId number, LeafWork work) -> void
@@ -194,7 +194,7 @@
     this->works.emplace(id, WorkState{std::move(work), record, 0});
     auto actions = std::vector<routing::QueueAction>();
     routing::submit(record->queue, request, now, actions);
-    this->perform(*record, std::move(actions));
+    this->perform(*record, actions);
 }
 
 auto LeafOwner::cancel(LeafWorkId number) -> void
@@ -206,10 +206,10 @@
     auto &record = *known->second.record;
     auto actions = std::vector<routing::QueueAction>();
     routing::cancel(record.queue, known->first, base::monotonicNow(), actions);
-    this->perform(record, std::move(actions));
+    this->perform(record, actions);
 }
 
-auto LeafOwner::perform(LeafRecord &record, std::vector<routing::QueueAction> actions) -> void
+auto LeafOwner::perform(LeafRecord &record, const std::vector<routing::QueueAction> &actions) -> void
 {
     for (const auto &action : actions) {
         if (const auto *send = std::get_if<routing::Dispatch>(&action)) {
@@ -234,7 +234,7 @@
         auto actions = std::vector<routing::QueueAction>();
         routing::finished(record.queue, id, routing::RunEnd::Declined, now, actions);
         this->reject(id, routing::QueueRejection::NotOwner);
-        this->perform(record, std::move(actions));
+        this->perform(record, actions);
         return;
     }
     auto request = leafRequest(record.leaf, record.queue.share.connections, known->second.work, now, record.queue.policy.slotGrace);
@@ -279,7 +279,7 @@
         this->noteDraining(record, actions);
     }
     this->answer(id, std::move(result.reply));
-    this->perform(record, std::move(actions));
+    this->perform(record, actions);
 }
 
 auto LeafOwner::noteDraining(LeafRecord &record, std::vector<routing::QueueAction> &actions) -> void
@@ -322,7 +322,7 @@
             record.wakeAt = absl::InfiniteFuture();
             auto actions = std::vector<routing::QueueAction>();
             routing::expire(record.queue, base::monotonicNow(), actions);
-            this->perform(record, std::move(actions));
+            this->perform(record, actions);
         });
     }
 }
--- a/packages/daemon/src/query_runner.cpp
+++ b/packages/daemon/src/query_runner.cpp
@@ -144,10 +144,10 @@
     auto context = this->contextOf(*running);
     auto actions = std::vector<query::Action>();
     running->state = query::startQuery(request, context, base::monotonicNow(), actions);
-    this->perform(running, std::move(actions));
+    this->perform(running, actions);
 }
 
-auto QueryRunner::perform(const RunningPtr &query, std::vector<query::Action> actions) -> void
+auto QueryRunner::perform(const RunningPtr &query, const std::vector<query::Action> &actions) -> void
 {
     for (const auto &action : actions) {
         if (const auto *attempt = std::get_if<query::SendAttempt>(&action)) {
@@ -369,7 +369,7 @@
     auto context = this->contextOf(*query);
     auto actions = std::vector<query::Action>();
     query::onReply(query->state, context, event, base::monotonicNow(), actions);
-    this->perform(query, std::move(actions));
+    this->perform(query, actions);
 }
 
 auto QueryRunner::finish(const RunningPtr &query, const query::Finish &finish) -> void
@@ -429,7 +429,7 @@
     auto context = this->contextOf(*query);
     auto actions = std::vector<query::Action>();
     query::onTimer(query->state, context, base::monotonicNow(), actions);
-    this->perform(query, std::move(actions));
+    this->perform(query, actions);
 }
 
 auto QueryRunner::onCallerLeft(std::uint64_t number) -> void
@@ -443,7 +443,7 @@
     auto context = this->contextOf(*query);
     auto actions = std::vector<query::Action>();
     query::onCallerLeft(query->state, context, base::monotonicNow(), actions);
-    this->perform(query, std::move(actions));
+    this->perform(query, actions);
 }
 
 } // namespace tamarackspan::daemon
