--- a/tests/answers/bad_input_test.cpp
+++ b/tests/answers/bad_input_test.cpp
@@ -93,7 +93,9 @@
             const auto reply = sendRaw(port, bytes);
             EXPECT_EQ(reply.find("200 OK"), std::string::npos) << bytes.substr(0, 200) << " got " << reply;
         }
-        const auto large = testkit::httpSend("POST", deployment.queryUrl(0, "strict"), {}, std::string(20'000'000, 'x'));
+        auto body = std::string();
+        body.resize(20'000'000, 'x');
+        const auto large = testkit::httpSend("POST", deployment.queryUrl(0, "strict"), {}, body);
         EXPECT_TRUE(!large.ok() || large->status == 413) << large->status;
     });
     deployment.check({"one-snapshot", "true-coverage", "own-answer"});
--- a/tests/answers/costs_test.cpp
+++ b/tests/answers/costs_test.cpp
@@ -1,6 +1,12 @@
 #include "deployment.h"
 
+#include "tamarackspan/testkit/http_client.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
 #include <algorithm>
+#include <map>
 
 namespace tamarackspan::answers {
 namespace {
@@ -29,5 +35,50 @@
               })));
 }
 
+/// Sums up what all incarnations were charged for, as any host reports it; the highest count of each is the newest.
+auto chargedMicros(const Deployment &deployment, const std::vector<std::size_t> &hosts) -> std::int64_t
+{
+    auto byIncarnation = std::map<std::string, std::int64_t>();
+    for (const auto host : hosts) {
+        const auto result = testkit::httpGet(absl::StrCat("http://", deployment.fleet.addresses(host).admin, "/costs"));
+        EXPECT_TRUE(result.ok()) << result.status();
+        const auto body = Json::parse(result.ok() ? result->body : "", nullptr, false);
+        if (!body.is_object() || !body.contains("reports")) {
+            ADD_FAILURE() << "no cost reports: " << (result.ok() ? result->body : "");
+            continue;
+        }
+        for (const auto &report : body["reports"]) {
+            auto sum = std::int64_t{0};
+            for (const auto &row : report["rows"]) {
+                sum += row["leaf_micros"].get<std::int64_t>();
+            }
+            auto &known = byIncarnation[report["incarnation"].get<std::string>()];
+            known = std::max(known, sum);
+        }
+    }
+    auto total = std::int64_t{0};
+    for (const auto &[incarnation, micros] : byIncarnation) {
+        total += micros;
+    }
+    return total;
+}
+
+/// Hedges, and callers that leave early, whose requests are cancelled.
+TEST(CostsTest, CustomersAreChargedWhatTheLeafsMeasuredForCancelledRequestsToo)
+{
+    auto deployment = Deployment(2, {{"straggler_share", 0.05}, {"straggler_factor", 20}, {"slots", 16}});
+    auto service = PublishedService();
+    service.slots = 16;
+    deployment.publishService(service);
+    deployment.start();
+    deployment.drive(deployment.load("strict", {0, 1}, 4116));
+    auto leaving = deployment.load("labelled", {0, 1}, 4117);
+    leaving.timeout = absl::Milliseconds(30);
+    deployment.drive(leaving);
+    absl::SleepFor(absl::Seconds(3));
+    deployment.note({{"type", "charge"}, {"customer", "desk"}, {"micros", chargedMicros(deployment, {0, 1})}});
+    deployment.check({"cost-conservation", "true-coverage"});
+}
+
 } // namespace
 } // namespace tamarackspan::answers
--- a/tests/answers/deployment.cpp
+++ b/tests/answers/deployment.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-Deployment::Deployment(std::size_t hosts, Json leafKeys, std::function<void(testkit::HostOptions &, std::size_t)> adjust)
+Deployment::Deployment(std::size_t hosts, const Json &leafKeys, const std::function<void(testkit::HostOptions &, std::size_t)> &adjust)
     : fleet({.daemon = TAMARACKSPAND_PROGRAM, .leafStandIn = LEAFSTANDIN_PROGRAM, .platformStandIn = PLATFORMSTANDIN_PROGRAM})
 {
     auto leafs = std::vector<Json>();
@@ -77,7 +77,7 @@
 auto Deployment::publishService(const PublishedService &service) -> void
 {
     auto text = absl::StrCat("service = \"trays\"\ndata_centre = \"a\"\npublished_by = \"test\"\nindex_versions = [", absl::StrJoin(service.versions, ", "),
-                             "]\nownership_group_size = 2\n");
+                             "]\nownership_group_size = ", service.groupSize, "\n");
     for (auto i = std::size_t{0}; i < leafCount; ++i) {
         const auto other = service.otherPorts.find(i);
         const auto port = other == service.otherPorts.end() ? this->leafPorts[i] : other->second;
--- a/tests/answers/deployment.h
+++ b/tests/answers/deployment.h
@@ -24,6 +24,7 @@
     std::uint32_t shards = 4;
     std::uint32_t slots = 4;
     std::uint32_t connections = 25;
+    std::uint32_t groupSize = 2;
     std::set<std::size_t> leaving;
     /// Shard s is held by the leafs s + shift and s + shift + 1, modulo the number of leafs.
     std::size_t shift = 0;
@@ -41,7 +42,7 @@
 class Deployment
 {
 public:
-    explicit Deployment(std::size_t hosts, Json leafKeys = Json::object(), std::function<void(testkit::HostOptions &, std::size_t)> adjust = {});
+    explicit Deployment(std::size_t hosts, const Json &leafKeys = Json::object(), const std::function<void(testkit::HostOptions &, std::size_t)> &adjust = {});
 
     auto publishHosts(const std::vector<std::size_t> &hosts) -> void;
     auto publishService(const PublishedService &service) -> void;
--- /dev/null
+++ b/tests/answers/own_answer_test.cpp
@@ -0,0 +1,101 @@
+#include "deployment.h"
+
+#include "tamarackspan/testkit/relay.h"
+
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+
+namespace tamarackspan::answers {
+namespace {
+
+const auto judgedRules = std::vector<std::string>{"one-snapshot", "true-coverage", "whole-answer", "own-answer", "no-duplicates"};
+
+TEST(OwnAnswerTest, LateAndCrossedRepliesOfLeafsReachNoOtherCaller)
+{
+    auto deployment = Deployment(2, {{"crossed_share", 0.02}, {"late_share", 0.01}, {"late_ms", 20}, {"lost_share", 0.005}});
+    deployment.start();
+    auto options = deployment.load("labelled", {0, 1}, 4301);
+    options.deadline = absl::Milliseconds(300);
+    deployment.drive(options);
+    deployment.check(judgedRules);
+    EXPECT_FALSE(deployment.answersOf(options.caller).empty());
+}
+
+TEST(OwnAnswerTest, CallersThatLeaveEarlyLeaveNoReplyToOthers)
+{
+    auto deployment = Deployment(2, {{"exponential", true}, {"mean_us", 10000}});
+    deployment.start();
+    auto leaving = deployment.load("labelled", {0, 1}, 4302);
+    leaving.timeout = absl::Milliseconds(25);
+    deployment.drive(leaving);
+    auto staying = deployment.load("strict", {0, 1}, 4303);
+    staying.duration = absl::Seconds(2);
+    deployment.drive(staying);
+    deployment.check(judgedRules);
+    const auto left = deployment.callsOf(leaving.caller);
+    EXPECT_TRUE(std::any_of(left.begin(), left.end(), [](const Json &call) {
+        return call["status"] == 0;
+    }));
+    // Those who left take no slot from those who stay.
+    EXPECT_EQ(deployment.answersOf(staying.caller).size(), deployment.callsOf(staying.caller).size());
+}
+
+/// The paths to the leafs delay, fall silent and are cut.
+TEST(OwnAnswerTest, SlowAndBrokenPathsToLeafsCrossNothing)
+{
+    auto deployment = Deployment(2);
+    auto options = deployment.load("labelled", {0, 1}, 4304);
+    options.deadline = absl::Milliseconds(250);
+    auto relays = std::vector<std::unique_ptr<testkit::Relay>>();
+    auto service = PublishedService();
+    for (auto leaf = std::size_t{0}; leaf < deployment.leafPorts.size(); ++leaf) {
+        relays.push_back(std::make_unique<testkit::Relay>(0, deployment.leafPorts[leaf], 0));
+        service.otherPorts[leaf] = relays[leaf]->port();
+    }
+    deployment.publishService(service);
+    deployment.start();
+    deployment.drive(options, [&] {
+        const auto change = [&relays](const Json &what) {
+            for (const auto &relay : relays) {
+                EXPECT_TRUE(relay->change(what).ok());
+            }
+            absl::SleepFor(absl::Milliseconds(500));
+        };
+        change({{"delay_ms", 40}});
+        change({{"delay_ms", 200}});
+        change({{"delay_ms", 0}, {"silent", "open"}});
+        change({{"cut", true}});
+        change({{"one_way", "to_server"}});
+        change({{"one_way", "both"}});
+    });
+    deployment.check(judgedRules);
+    EXPECT_FALSE(deployment.answersOf(options.caller).empty());
+}
+
+/// One host only takes in requests, two own the leafs. Those are paused again and again past the callers' deadlines, so that their replies come late.
+TEST(OwnAnswerTest, LateRepliesBetweenHostsCrossNothing)
+{
+    auto deployment = Deployment(3, Json::object(), [](testkit::HostOptions &options, std::size_t host) {
+        options.roles = host == 0 ? std::vector<std::string>{"entry"} : std::vector<std::string>{"leaf-owner"};
+    });
+    deployment.start();
+    auto options = deployment.load("labelled", {0}, 4305);
+    options.deadline = absl::Milliseconds(100);
+    deployment.drive(options, [&] {
+        for (auto round = std::size_t{0}; round < 8; ++round) {
+            auto &owner = deployment.fleet.process(1 + round % 2);
+            owner.signal(SIGSTOP);
+            absl::SleepFor(absl::Milliseconds(200));
+            owner.signal(SIGCONT);
+            absl::SleepFor(absl::Milliseconds(200));
+        }
+    });
+    deployment.check(judgedRules);
+    EXPECT_FALSE(deployment.answersOf(options.caller).empty());
+}
+
+} // namespace
+} // namespace tamarackspan::answers
--- a/tests/answers/snapshot_test.cpp
+++ b/tests/answers/snapshot_test.cpp
@@ -5,11 +5,11 @@
 namespace tamarackspan::answers {
 namespace {
 
-/// Versions go up at the leafs one by one while the published list follows, and every second step moves all shards by one leaf.
+/// Each new version is published before any leaf holds it, then the leafs take it up one by one; every second step moves all shards by one leaf.
 TEST(SnapshotTest, NoAnswerMixesVersionsOrMapsWhileBothChange)
 {
     constexpr auto steps = std::uint64_t{12};
-    auto deployment = Deployment(2);
+    auto deployment = Deployment(2, {{"mean_us", 5000}, {"exponential", true}});
     deployment.start();
     auto options = deployment.load("labelled", {0, 1}, 4101);
     options.inFlight = 12;
@@ -17,15 +17,15 @@
     deployment.drive(options, [&] {
         for (auto step = std::uint64_t{1}; step <= steps; ++step) {
             const auto version = 42 + step;
-            for (const auto *leaf : {"l0", "l1", "l2", "l3"}) {
-                EXPECT_TRUE(deployment.fleet.controlLeaf(leaf, {{"index_versions", {version, version - 1}}}).ok());
-                absl::SleepFor(absl::Milliseconds(100));
-            }
             auto service = PublishedService();
             service.versions = {version, version - 1};
             service.shift = step / 2;
             deployment.publishService(service);
             absl::SleepFor(absl::Milliseconds(100));
+            for (const auto *leaf : {"l0", "l1", "l2", "l3"}) {
+                EXPECT_TRUE(deployment.fleet.controlLeaf(leaf, {{"index_versions", {version, version - 1}}}).ok());
+                absl::SleepFor(absl::Milliseconds(100));
+            }
         }
     });
     deployment.check({"one-snapshot", "true-coverage", "whole-answer", "own-answer", "no-duplicates"});
