--- /dev/null
+++ b/tests/answers/replaced_host_test.cpp
@@ -0,0 +1,110 @@
+#include "deployment.h"
+
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace tamarackspan::answers {
+namespace {
+
+const auto judgedRules = std::vector<std::string>{"slot-cap", "connection-cap", "one-snapshot", "true-coverage"};
+
+/// Caps that bind: no more connections than slots, and more callers than both.
+auto narrow(std::uint32_t slots, std::uint32_t connections) -> Json
+{
+    return {{"slots", slots}, {"connections", connections}, {"exponential", true}, {"mean_us", 4000}};
+}
+
+auto narrowService(std::uint32_t slots, std::uint32_t connections) -> PublishedService
+{
+    auto service = PublishedService();
+    service.slots = slots;
+    service.connections = connections;
+    return service;
+}
+
+auto heavy(const Deployment &deployment, const std::vector<std::size_t> &hosts, std::uint64_t seed) -> testkit::LoadOptions
+{
+    auto options = deployment.load("labelled", hosts, seed);
+    options.inFlight = 24;
+    options.deadline = absl::Milliseconds(400);
+    options.timeout = absl::Seconds(5);
+    return options;
+}
+
+TEST(ReplacedHostTest, CapsHoldWhileAKilledHostIsReplacedAtAnotherAddress)
+{
+    auto deployment = Deployment(4, narrow(4, 4));
+    deployment.publishService(narrowService(4, 4));
+    deployment.publishHosts({0, 1, 2});
+    for (const auto host : {0U, 1U, 2U}) {
+        deployment.fleet.startHost(host);
+    }
+    for (const auto host : {0U, 1U, 2U}) {
+        const auto ready = deployment.fleet.waitReady(host, absl::Seconds(15));
+        ASSERT_TRUE(ready.ok()) << ready;
+    }
+    auto options = heavy(deployment, {0, 1, 2, 3}, 4903);
+    options.duration = absl::Seconds(7);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        deployment.fleet.process(1).kill();
+        deployment.fleet.startHost(3);
+        deployment.publishHosts({0, 2, 3});
+        const auto ready = deployment.fleet.waitReady(3, absl::Seconds(15));
+        EXPECT_TRUE(ready.ok()) << ready;
+    });
+    deployment.check(judgedRules);
+    const auto answers = deployment.callsOf(options.caller);
+    EXPECT_TRUE(std::any_of(answers.begin(), answers.end(), [&](const Json &call) {
+        return call["address"] == deployment.fleet.addresses(3).caller && call["status"] == 200;
+    })) << "the new host never answered";
+}
+
+/// A third host takes over parts from the two that keep running with warm connections to the leafs.
+TEST(ReplacedHostTest, CapsHoldWhileAHostIsAdded)
+{
+    auto deployment = Deployment(3, narrow(4, 4));
+    auto service = narrowService(4, 4);
+    service.groupSize = 1;
+    deployment.publishService(service);
+    deployment.publishHosts({0, 1});
+    for (const auto host : {0U, 1U, 2U}) {
+        deployment.fleet.startHost(host);
+    }
+    for (const auto host : {0U, 1U}) {
+        const auto ready = deployment.fleet.waitReady(host, absl::Seconds(15));
+        ASSERT_TRUE(ready.ok()) << ready;
+    }
+    auto options = heavy(deployment, {0, 1}, 4906);
+    options.duration = absl::Seconds(7);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        deployment.publishHosts({0, 1, 2});
+        const auto ready = deployment.fleet.waitReady(2, absl::Seconds(15));
+        EXPECT_TRUE(ready.ok()) << ready;
+    });
+    deployment.check(judgedRules);
+}
+
+/// The paused host is taken out of the list, so that others get its part, and wakes before it has read that.
+TEST(ReplacedHostTest, CapsHoldWhileAPausedHostIsReplacedAndWakes)
+{
+    auto deployment = Deployment(3, narrow(4, 4));
+    deployment.publishService(narrowService(4, 4));
+    deployment.start();
+    auto options = heavy(deployment, {0, 1, 2}, 4905);
+    options.duration = absl::Seconds(8);
+    deployment.drive(options, [&] {
+        absl::SleepFor(absl::Seconds(1));
+        deployment.fleet.process(1).signal(SIGSTOP);
+        deployment.publishHosts({0, 2});
+        absl::SleepFor(absl::Seconds(4));
+        deployment.fleet.process(1).signal(SIGCONT);
+    });
+    deployment.check(judgedRules);
+}
+
+} // namespace
+} // namespace tamarackspan::answers
