Don't take two hosts that hold nothing for hosts that agree

Cause: a digest that equals this host's counted as a comparison with a peer, also when both stores were empty; so hosts that all restarted while the platform was down called themselves peers-only.

The test of a new host now starts its data centre before the list names the new host: with a listed host that never ran, a data centre that starts from nothing doesn't become ready (30 s), since all three witnesses must hold the list before a part grows. The promise is about a running data centre.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -296,7 +296,9 @@
     }
     const auto peer = fromWire(digest);
     const auto scope = configuration::differingScope(this->store, peer);
-    configuration::onPeerDigest(this->plan, peer, !scope.has_value(), now);
+    // Two hosts that both hold nothing tell each other nothing.
+    const auto agrees = !scope.has_value() && !this->store.documents.empty();
+    configuration::onPeerDigest(this->plan, peer, agrees, now);
     if (scope && configuration::shouldAsk(this->pacers[link->host()], this->store, peer, now)) {
         link->send(wire::encode(toWire(configuration::ConfigListRequest{*scope, {}})));
     }
