Close idle connections above a share that shrank

Change: Client::limitPool shuts idle connections above the cap; the owner calls it whenever it looks at its shares.

--- a/packages/daemon/include/tamarackspan/daemon/leaf_http.h
+++ b/packages/daemon/include/tamarackspan/daemon/leaf_http.h
@@ -10,6 +10,9 @@
 
 namespace tamarackspan::daemon {
 
+/// Returns the name of the connection pool of a leaf.
+[[nodiscard]] auto leafPool(const contracts::Leaf &leaf) -> std::string;
+
 /// Returns the HTTP request that runs a piece of work at its leaf, as in docs/LEAF-PROTOCOL.md. `patience` is how much longer than the deadline the reply is
 /// waited for, so that the slot's end is seen.
 [[nodiscard]] auto leafRequest(const contracts::Leaf &leaf, std::uint32_t connections, const LeafWork &work, absl::Time now, absl::Duration patience)
--- a/packages/daemon/src/leaf_http.cpp
+++ b/packages/daemon/src/leaf_http.cpp
@@ -40,7 +40,7 @@
 auto baseRequest(const contracts::Leaf &leaf, std::uint32_t connections, std::string_view path) -> http::Request
 {
     auto request = http::Request();
-    request.pool = absl::StrCat(leaf.address, ":", leaf.port);
+    request.pool = leafPool(leaf);
     request.url = absl::StrCat("http://", request.pool).append(path);
     request.maxConnections = connections;
     return request;
@@ -119,6 +119,11 @@
 
 } // namespace
 
+auto leafPool(const contracts::Leaf &leaf) -> std::string
+{
+    return absl::StrCat(leaf.address, ":", leaf.port);
+}
+
 auto leafRequest(const contracts::Leaf &leaf, std::uint32_t connections, const LeafWork &work, absl::Time now, absl::Duration patience) -> http::Request
 {
     const auto left = std::max(work.deadline - now, absl::Milliseconds(1));
--- a/packages/daemon/src/leaf_owner.cpp
+++ b/packages/daemon/src/leaf_owner.cpp
@@ -173,6 +173,8 @@
         }
     }
     routing::setShare(record.queue, share, now, actions);
+    // A part that was given up must not be held by idle connections: its new owner opens its own.
+    this->client.limitPool(leafPool(record.leaf), share.connections);
     if (record.leaf.leaving || record.saidDraining) {
         routing::drain(record.queue, actions);
     } else if (record.queue.draining) {
--- a/packages/http/include/tamarackspan/http/client.h
+++ b/packages/http/include/tamarackspan/http/client.h
@@ -67,6 +67,10 @@
     /// Ends a request; its callback gets Outcome::Cancelled soon. Closes the connection if the request was sent. Does nothing if the request has ended.
     auto cancel(RequestId id) -> void;
 
+    /// Sets the most connections of a pool, as Request::maxConnections does, and closes idle ones above it at once. Busy ones above it are closed when
+    /// limitPool is called again after they became idle. Does nothing for an unknown pool.
+    auto limitPool(std::string_view pool, std::uint32_t maxConnections) -> void;
+
     /// Returns the connections of a pool; zeros for an unknown one.
     [[nodiscard]] auto poolCounts(std::string_view pool) const -> PoolCounts;
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -59,6 +59,7 @@
 
     auto send(Request request, Callback callback) -> RequestId;
     auto cancel(RequestId id) -> void;
+    auto limitPool(std::string_view name, std::uint32_t maxConnections) -> void;
     [[nodiscard]] auto counts(std::string_view name) const -> PoolCounts;
 
 private:
@@ -161,6 +162,15 @@
     return number;
 }
 
+auto Client::Core::limitPool(std::string_view name, std::uint32_t maxConnections) -> void
+{
+    const auto known = this->poolNames.find(std::string(name));
+    if (known != this->poolNames.end()) {
+        this->pools[known->second].maxConnections = maxConnections;
+        this->connections.retireIdleAbove(known->second, maxConnections);
+    }
+}
+
 auto Client::Core::send(Request request, Callback callback) -> RequestId
 {
     const auto id = ++this->lastId;
@@ -453,6 +463,11 @@
     this->core->cancel(id);
 }
 
+auto Client::limitPool(std::string_view pool, std::uint32_t maxConnections) -> void
+{
+    this->core->limitPool(pool, maxConnections);
+}
+
 auto Client::poolCounts(std::string_view pool) const -> PoolCounts
 {
     return this->core->counts(pool);
--- a/packages/http/src/connections.cpp
+++ b/packages/http/src/connections.cpp
@@ -290,6 +290,24 @@
     return true;
 }
 
+auto Connections::retireIdleAbove(PoolNumber pool, std::uint32_t limit) -> void
+{
+    auto staying = std::uint32_t{0};
+    for (const auto &[fd, socket] : this->sockets) {
+        staying += socket.pool == pool && (socket.state == SocketState::Busy || socket.state == SocketState::Idle) ? 1 : 0;
+    }
+    for (auto &[fd, socket] : this->sockets) {
+        if (staying <= limit) {
+            return;
+        }
+        if (socket.pool == pool && socket.state == SocketState::Idle) {
+            this->setState(socket, SocketState::Retiring);
+            this->shutDown(fd, socket);
+            --staying;
+        }
+    }
+}
+
 auto Connections::hasIdleSince(PoolNumber pool, absl::Time time) const -> bool
 {
     return std::any_of(this->sockets.begin(), this->sockets.end(), [pool, time](const auto &entry) {
--- a/packages/http/src/connections.h
+++ b/packages/http/src/connections.h
@@ -75,6 +75,9 @@
     /// Shuts down the pool's longest idle socket to make room. Returns false if there is none, or if one is being closed already.
     auto retireOldestIdle(PoolNumber pool) -> bool;
 
+    /// Shuts down idle sockets of the pool until no more than `limit` are open that aren't being closed already, or none is idle.
+    auto retireIdleAbove(PoolNumber pool, std::uint32_t limit) -> void;
+
     /// Tells whether the pool has an idle socket that was used at or after the given time.
     [[nodiscard]] auto hasIdleSince(PoolNumber pool, absl::Time time) const -> bool;
 
