Make the life of a ticket a setting

Cause: a planned stop waits for tickets that are out, and their life was a constant of 10 s, so that a test of rolling restarts took half a minute of waiting. timing.ticket_life_ms has the same default; the wait of a planned stop grows with it.

--- a/packages/configuration/include/tamarackspan/configuration/host_settings.h
+++ b/packages/configuration/include/tamarackspan/configuration/host_settings.h
@@ -65,6 +65,8 @@
     absl::Duration startWait = absl::Seconds(5);
     /// How often a host's cost counters are sent to its peers.
     absl::Duration costReport = absl::Seconds(1);
+    /// How long after its issue a ticket may be submitted first; a planned stop waits for those that are out.
+    absl::Duration ticketLife = absl::Seconds(10);
 
     friend auto operator==(const Timing &, const Timing &) -> bool = default;
 };
--- a/packages/configuration/src/host_settings.cpp
+++ b/packages/configuration/src/host_settings.cpp
@@ -80,6 +80,7 @@
     timing.platformTimeout = readDuration(reader, "platform_timeout_ms", timing.platformTimeout);
     timing.startWait = readDuration(reader, "start_wait_ms", timing.startWait);
     timing.costReport = readDuration(reader, "cost_report_ms", timing.costReport);
+    timing.ticketLife = readDuration(reader, "ticket_life_ms", timing.ticketLife);
     if (timing.heartbeat * 2 > timing.peerTimeout) {
         reader.failKey("heartbeat_ms", "expected at most half of peer_timeout_ms, so that one lost heartbeat doesn't make a peer unreachable");
     }
--- a/packages/configuration/tests/host_settings_test.cpp
+++ b/packages/configuration/tests/host_settings_test.cpp
@@ -33,6 +33,7 @@
     const auto result = parseSettings(settingsText, "s.toml");
     ASSERT_TRUE(result.ok());
     EXPECT_EQ(result.value().timing, Timing{});
+    EXPECT_EQ(result.value().timing.ticketLife, absl::Seconds(10));
     EXPECT_TRUE(result.value().host.isEntry);
     EXPECT_TRUE(result.value().host.isLeafOwner);
     EXPECT_EQ(result.value().log, LogSettings{});
@@ -40,12 +41,13 @@
 
 TEST(HostSettings, OverridesReplaceKeysUnderTheSameChecks)
 {
-    const auto result =
-        parseSettings(settingsText, "s.toml",
-                      {"host.inner_address=127.0.0.1:7999", "timing.lease_ms=5000", "host.roles=[\"entry\"]", "log.format=json", "audit.file=/tmp/a b"});
+    const auto result = parseSettings(settingsText, "s.toml",
+                                      {"host.inner_address=127.0.0.1:7999", "timing.lease_ms=5000", "timing.ticket_life_ms=2500", "host.roles=[\"entry\"]",
+                                       "log.format=json", "audit.file=/tmp/a b"});
     ASSERT_TRUE(result.ok());
     EXPECT_EQ(result.value().host.innerAddress.get(), "127.0.0.1:7999");
     EXPECT_EQ(result.value().timing.lease, absl::Seconds(5));
+    EXPECT_EQ(result.value().timing.ticketLife, absl::Milliseconds(2500));
     EXPECT_FALSE(result.value().host.isLeafOwner);
     EXPECT_EQ(result.value().log.format, LogFormat::Json);
     EXPECT_EQ(result.value().auditFile, "/tmp/a b");
@@ -54,7 +56,7 @@
                   "--set: expected table.key=value, found \"lease=3\"",
                   "--set: host.inner_address: expected an IP address and port, such as \"10.0.0.1:7000\", found \"localhost:1\"",
                   "--set: timing.leese_ms: expected one of cost_report_ms, drain_wait_ms, heartbeat_ms, host_list_lag_ms, lease_ms, peer_timeout_ms, "
-                  "platform_timeout_ms, platform_wait_ms, start_wait_ms; found an unknown key",
+                  "platform_timeout_ms, platform_wait_ms, start_wait_ms, ticket_life_ms; found an unknown key",
               }));
 }
 
@@ -74,6 +76,7 @@
              "timing.lease_ms=0",
              "timing.lease_ms=1.5",
              "timing.heartbeat_ms=1400",
+             "timing.ticket_life_ms=0",
              "log.level=loud",
              "log.file=3",
              "colour.of=red",
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -28,10 +28,8 @@
 
 constexpr auto gateInterval = absl::Milliseconds(2);
 constexpr auto idlePollInterval = absl::Milliseconds(20);
-/// The longest that a planned stop waits for tickets and running requests after the drain wait.
+/// The longest that a planned stop waits for running requests, after the drain wait and the life of the last ticket.
 constexpr auto longestIdleWait = absl::Seconds(60);
-/// How long after its issue a ticket may be submitted first; a planned stop waits for it.
-constexpr auto ticketLife = absl::Seconds(10);
 constexpr auto callerThreads = std::uint32_t{2};
 constexpr auto adminThreads = std::uint32_t{1};
 constexpr auto callerConnections = std::uint32_t{4000};
@@ -42,7 +40,7 @@
     return {timing.heartbeat, timing.peerTimeout, timing.heartbeat / 2};
 }
 
-auto ticketOptions() -> execution::TicketBookOptions
+auto ticketOptions(absl::Duration ticketLife) -> execution::TicketBookOptions
 {
     auto options = execution::TicketBookOptions();
     options.ticketLife = ticketLife;
@@ -77,7 +75,8 @@
           identity{settings.host.innerAddress, makeIncarnation(), settings.host.dataCentre},
           accounting(this->identity.incarnation),
           gate(admission::AdmissionConfig()),
-          traffic(settings.host.trafficThreads, this->identity, linkTiming(settings.timing), this->lease, this->accounting, ticketOptions()),
+          traffic(settings.host.trafficThreads, this->identity, linkTiming(settings.timing), this->lease, this->accounting,
+                  ticketOptions(settings.timing.ticketLife)),
           control(this->controlLoop, settings, this->identity, this->lease, this->gate,
                   {[this](const ControlViewPtr &view) {
                        this->views.set(view);
@@ -206,7 +205,7 @@
     host.callerServer->startDraining();
     absl::SleepFor(host.settings.timing.drainWait);
     host.callerServer->stopAccepting();
-    const auto giveUpAt = base::monotonicNow() + longestIdleWait;
+    const auto giveUpAt = base::monotonicNow() + host.settings.timing.ticketLife + longestIdleWait;
     auto idle = host.askIdle();
     while (!idle && base::monotonicNow() < giveUpAt) {
         absl::SleepFor(idlePollInterval);
