Try refusals and planned stops in real processes

Cause of "stopping": the ticket book drains at SIGTERM, before the drain wait, while callers still may send.

--- /dev/null
+++ b/tests/execution/not_run_test.cpp
@@ -0,0 +1,100 @@
+#include "execution_fleet.h"
+
+#include "absl/time/clock.h"
+#include "gtest/gtest.h"
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace tamarackspan::execution_test {
+namespace {
+
+using Json = nlohmann::json;
+
+/// What was answered as not run was judged, and none of it ran.
+auto expectTrue(const ExecutionFleet &fleet, std::uint64_t atLeast)
+{
+    const auto report = fleet.judge();
+    std::cout << fleet.summary() << testkit::toString(report);
+    EXPECT_TRUE(report.violations.empty());
+    EXPECT_GE(judged(report, "not-run"), atLeast);
+    EXPECT_TRUE(fleet.vanished().empty());
+}
+
+TEST(NotRunTest, RefusalsOverTheLimitsAndOfAnUnknownServiceRanNowhere)
+{
+    auto fleet = ExecutionFleet({.requestsPerSecond = 40, .concurrency = 12, .leafMicros = 60'000});
+    ASSERT_TRUE(fleet.start().ok());
+    auto load = mixedLoad(fleet.callerAddresses(), 401);
+    load.mix.push_back({.customer = "desk", .operation = "orphan", .execute = true, .weight = 0.3});
+    fleet.drive(load);
+    EXPECT_GT(fleet.count("not-run", "rate-limit"), 0);
+    EXPECT_GT(fleet.count("not-run", "concurrency-limit"), 0);
+    EXPECT_GT(fleet.count("not-run", "service-unknown"), 0);
+    expectTrue(fleet, 1);
+}
+
+TEST(NotRunTest, RefusalsOfLeafsThatShedAndLeaveRanNowhere)
+{
+    auto fleet = ExecutionFleet({});
+    ASSERT_TRUE(fleet.start().ok());
+    ASSERT_TRUE(fleet.controlLeafs(Json{{"shed_share", 0.6}}).ok());
+    fleet.drive(mixedLoad(fleet.callerAddresses(), 402));
+    EXPECT_GT(fleet.count("not-run", "leaf-unavailable"), 0);
+    ASSERT_TRUE(fleet.controlLeafs(Json{{"shed_share", 0.0}, {"draining", true}}).ok());
+    auto load = mixedLoad(fleet.callerAddresses(), 403);
+    load.caller = "later";
+    load.duration = absl::Seconds(2);
+    fleet.drive(load);
+    expectTrue(fleet, 1);
+}
+
+TEST(NotRunTest, DeadlinesThatPassInTheQueueRanNowhere)
+{
+    auto fleet = ExecutionFleet({.slots = 2, .leafMicros = 80'000});
+    ASSERT_TRUE(fleet.start().ok());
+    auto load = mixedLoad(fleet.callerAddresses(), 404);
+    load.deadline = absl::Milliseconds(200);
+    fleet.drive(load);
+    expectTrue(fleet, 1);
+}
+
+TEST(NotRunTest, RefusalsWhileAnOwnerIsKilledRanNowhere)
+{
+    auto fleet = ExecutionFleet({.leafMicros = 100'000, .ownershipGroupSize = 1});
+    ASSERT_TRUE(fleet.start().ok());
+    // Host 0 owns some leafs itself; what it sends to the others' leafs is in flight at the hosts that are killed.
+    auto caller = std::thread([&fleet] {
+        auto load = executeLoad({fleet.callerAddresses()[0]}, 405);
+        load.rate = 60;
+        load.executeAttempts = 1;
+        fleet.drive(load);
+    });
+    absl::SleepFor(absl::Seconds(1));
+    fleet.hosts().process(1).kill();
+    fleet.hosts().process(2).kill();
+    caller.join();
+    EXPECT_GT(fleet.count("may-have-run", "outcome-unknown"), 0) << "no request was in flight at the owner";
+    expectTrue(fleet, 0);
+    EXPECT_GT(judged(fleet.judge(), "at-most-once"), 0);
+}
+
+TEST(NotRunTest, RefusalsOfAStoppingHostRanNowhere)
+{
+    auto fleet = ExecutionFleet({.hosts = 2, .leafMicros = 20'000});
+    ASSERT_TRUE(fleet.start().ok());
+    auto caller = std::thread([&fleet] {
+        auto load = mixedLoad({fleet.callerAddresses()[0]}, 406);
+        load.duration = absl::Seconds(4);
+        fleet.drive(load);
+    });
+    absl::SleepFor(absl::Seconds(1));
+    fleet.hosts().process(0).signal(SIGTERM);
+    caller.join();
+    EXPECT_GT(fleet.count("not-run", "stopping"), 0);
+    expectTrue(fleet, 1);
+}
+
+} // namespace
+} // namespace tamarackspan::execution_test
