Ask a leaf's other owner when one never reached it; take leaf work only with shares in force

Tickets were refused as soon as a stop began, while callers still came. Ruled out: readiness alone, since peers go by ownership and not by readiness. Change: a request that never reached a leaf goes to the leaf's other owner at no extra load; a host says on its traffic links that it takes no leaf work until its shares are in force, and is ready only then; tickets are issued until the drain wait is over; a refused answer below its floor always says coverage-below-floor.

--- a/packages/daemon/include/tamarackspan/daemon/control.h
+++ b/packages/daemon/include/tamarackspan/daemon/control.h
@@ -34,6 +34,8 @@
     std::function<void(ControlViewPtr)> onView;
     /// A traffic connection that a peer opened.
     std::function<void(transport::FrameConnection::Detached, wire::HelloT)> onTrafficPeer;
+    /// Whether this host may be given leaf requests: its shares of leafs are in force and it isn't about to stop. Told on each change; false at first.
+    std::function<void(bool)> onTakesLeafWork;
 };
 
 /// All control state of the process: configuration, host list, leases, budgets. Everything here is used on the control loop's thread only.
@@ -80,6 +82,8 @@
     };
 
     [[nodiscard]] auto holdsItsPart(absl::Time now) const -> bool;
+    [[nodiscard]] auto leafSharesInForce(absl::Time now) const -> bool;
+    auto updateTakesLeafWork(absl::Time now) -> void;
     auto onMessage(const transport::LinkPtr &link, wire::MessageT message) -> void;
     auto onDigest(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void;
     auto onDigestAnswer(const transport::LinkPtr &link, const wire::ConfigDigestT &digest) -> void;
@@ -139,6 +143,7 @@
     bool draining = false;
     /// As of the last update of the budgets.
     bool partHeld = false;
+    bool takesLeafWork = false;
 };
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/include/tamarackspan/daemon/execute_runner.h
+++ b/packages/daemon/include/tamarackspan/daemon/execute_runner.h
@@ -68,7 +68,7 @@
     auto onLinkDown(const transport::LinkPtr &link) -> void;
 
     /// Issues no more tickets from now on.
-    auto startDraining() -> void;
+    auto stopIssuing() -> void;
 
     /// Returns whether no ticket is left that could still be run, so that this process may end.
     [[nodiscard]] auto isDrained() -> bool;
@@ -84,7 +84,7 @@
     auto startRun(const SubmissionPtr &submission) -> void;
     auto join(const SubmissionPtr &submission) -> void;
     auto tryNextReplica(const RunPtr &run) -> void;
-    auto sendToOwner(const RunPtr &run, const base::LeafId &leaf) -> void;
+    auto sendToNextOwner(const RunPtr &run) -> bool;
     auto sendLocal(const RunPtr &run, const base::LeafId &leaf) -> void;
     auto onLeafResult(const RunPtr &run, LeafWorkReply reply) -> void;
     auto endRun(const RunPtr &run, const execution::Outcome &outcome, RefusalKind kind, const std::string &message) -> void;
--- a/packages/daemon/include/tamarackspan/daemon/query_runner.h
+++ b/packages/daemon/include/tamarackspan/daemon/query_runner.h
@@ -70,7 +70,8 @@
     static auto kindOf(const RunningQuery &query, const query::SendAttempt &attempt) -> AttemptKind;
     [[nodiscard]] auto ownersToTry(const RunningQuery &query, const base::LeafId &leaf) const -> std::vector<base::HostId>;
     auto noteEnded(AttemptPlace &place) -> void;
-    auto sendLocal(const RunningPtr &query, const query::SendAttempt &attempt) -> void;
+    auto sendToNextOwner(const RunningPtr &query, base::AttemptId attempt) -> bool;
+    auto sendLocal(const RunningPtr &query, base::AttemptId attempt) -> void;
     auto flushBatches(RunningQuery &query) -> void;
     auto failLater(std::uint64_t query, base::AttemptId attempt, base::ShardId shard) -> void;
     auto cancel(RunningQuery &query, const query::CancelAttempt &attempt) -> void;
--- a/packages/daemon/include/tamarackspan/daemon/traffic_threads.h
+++ b/packages/daemon/include/tamarackspan/daemon/traffic_threads.h
@@ -41,8 +41,11 @@
     /// Issues a ticket to an admitted caller.
     auto issueTicket(CallerQuery request) -> void;
 
-    /// Tells all peers that this host is leaving, and issues no more tickets.
-    auto startDraining() -> void;
+    /// Tells all peers whether this host gets leaf requests; it gets none until told so.
+    auto setTakesLeafWork(bool on) -> void;
+
+    /// Issues no more tickets.
+    auto stopIssuing() -> void;
 
     /// Calls back, on one of the threads, with whether nothing runs and no ticket is left.
     auto askIdle(std::function<void(bool)> answer) -> void;
--- a/packages/daemon/include/tamarackspan/daemon/worker.h
+++ b/packages/daemon/include/tamarackspan/daemon/worker.h
@@ -48,8 +48,11 @@
     /// Takes over a connection that a peer opened.
     auto adopt(transport::FrameConnection::Detached detached, const wire::HelloT &hello) -> void;
 
-    /// Tells all peers that this host is leaving, and issues no more tickets.
-    auto startDraining() -> void;
+    /// Tells all peers that this host gets no new leaf requests: its shares aren't in force yet, or it is about to stop.
+    auto setTakesLeafWork(bool on) -> void;
+
+    /// Issues no more tickets.
+    auto stopIssuing() -> void;
 
     [[nodiscard]] auto queries() -> QueryRunner &;
     [[nodiscard]] auto leafs() -> LeafOwner &;
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -152,7 +152,8 @@
 auto Control::startDraining() -> void
 {
     this->draining = true;
-    this->links.startDraining();
+    this->links.setDraining(true);
+    this->updateTakesLeafWork(base::monotonicNow());
 }
 
 auto Control::handOverCosts() -> void
@@ -184,6 +185,19 @@
     return membership::partInForce(this->roster, oneEach, "ready", hold, now).units > 0;
 }
 
+auto Control::leafSharesInForce(absl::Time now) const -> bool
+{
+    return this->lease.isInForce(now) && !this->hostViews.empty() && this->hostViews.front().since + this->view->shareWindow <= now;
+}
+
+auto Control::updateTakesLeafWork(absl::Time now) -> void
+{
+    const auto takes = !this->draining && this->leafSharesInForce(now);
+    if (std::exchange(this->takesLeafWork, takes) != takes) {
+        this->outputs.onTakesLeafWork(takes);
+    }
+}
+
 auto Control::settings() const -> const configuration::HostSettings &
 {
     return this->hostSettings;
@@ -559,7 +573,8 @@
 {
     const auto now = base::monotonicNow();
     this->budgetKeeper.tick(now);
-    this->partHeld = this->holdsItsPart(now);
+    this->updateTakesLeafWork(now);
+    this->partHeld = this->holdsItsPart(now) && this->leafSharesInForce(now);
     this->loop.runAt(base::monotonicNow() + lendingConfig(this->hostSettings).interval, [this] {
         this->tickBudgets();
     });
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -87,6 +87,9 @@
                    },
                    [this](transport::FrameConnection::Detached detached, wire::HelloT hello) {
                        this->traffic.adopt(std::move(detached), std::move(hello));
+                   },
+                   [this](bool takes) {
+                       this->traffic.setTakesLeafWork(takes);
                    }}),
           callerApi(this->views, this->gate, this->traffic, this->accounting),
           adminApi(this->controlLoop, this->control, this->accounting, std::move(requestStop))
@@ -217,7 +220,6 @@
     host.controlLoop.post([&host] {
         host.control.startDraining();
     });
-    host.traffic.setTakesLeafWork(false);
     host.callerServer->startDraining();
     absl::SleepFor(host.settings.timing.drainWait);
     host.callerServer->stopAccepting();
--- a/packages/daemon/src/execute_runner.cpp
+++ b/packages/daemon/src/execute_runner.cpp
@@ -86,6 +86,9 @@
     base::ShardId shard;
     std::vector<base::LeafId> replicas;
     std::size_t nextReplica = 0;
+    /// The leaf asked now, and those of its owners that were asked.
+    base::LeafId leaf;
+    std::vector<base::HostId> triedOwners;
     std::uint32_t attempts = 0;
     std::string lastReason;
 };
@@ -117,7 +120,7 @@
     this->view = std::move(newView);
 }
 
-auto ExecuteRunner::startDraining() -> void
+auto ExecuteRunner::stopIssuing() -> void
 {
     execution::drain(this->book);
 }
@@ -269,13 +272,19 @@
         this->endRun(run, {RunState::NotRun, statusOf(RefusalKind::LeafUnavailable), {}, true}, RefusalKind::LeafUnavailable, why);
         return;
     }
-    const auto leaf = run->replicas[run->nextReplica++];
-    this->sendToOwner(run, leaf);
+    run->leaf = run->replicas[run->nextReplica++];
+    run->triedOwners.clear();
+    if (!this->sendToNextOwner(run)) {
+        run->lastReason = "no owner of the leaf can be reached";
+        this->loop.post([this, run] {
+            this->tryNextReplica(run);
+        });
+    }
 }
 
-auto ExecuteRunner::sendToOwner(const RunPtr &run, const base::LeafId &leaf) -> void
+auto ExecuteRunner::sendToNextOwner(const RunPtr &run) -> bool
 {
-    const auto owners = run->owners->find(leaf);
+    const auto owners = run->owners->find(run->leaf);
     auto hosts = std::vector<base::HostId>();
     if (owners != run->owners->end()) {
         for (const auto &owner : owners->second) {
@@ -286,9 +295,13 @@
         return !this->links.isDraining(host);
     });
     for (const auto &host : hosts) {
+        if (std::find(run->triedOwners.begin(), run->triedOwners.end(), host) != run->triedOwners.end()) {
+            continue;
+        }
+        run->triedOwners.push_back(host);
         if (host == this->identity.host) {
-            this->sendLocal(run, leaf);
-            return;
+            this->sendLocal(run, run->leaf);
+            return true;
         }
         const auto link = this->links.to(host);
         auto message = wire::ExecuteLeafT();
@@ -301,18 +314,15 @@
         message.service = run->first->service.get();
         message.mapGeneration = run->service->generation.get();
         message.shard = run->shard.get();
-        message.leaf = leaf.get();
+        message.leaf = run->leaf.get();
         message.body = toBytes(*run->first->body);
         const auto request = message.request;
         if (link != nullptr && link->send(wire::encode(std::move(message)))) {
             this->sent.emplace(request, Sent{link, run, nullptr});
-            return;
+            return true;
         }
     }
-    run->lastReason = "no owner of the leaf can be reached";
-    this->loop.post([this, run] {
-        this->tryNextReplica(run);
-    });
+    return false;
 }
 
 auto ExecuteRunner::sendLocal(const RunPtr &run, const base::LeafId &leaf) -> void
@@ -348,6 +358,7 @@
         auto result = LeafWorkReply();
         result.run = fromWire(reply.run);
         result.rejected = reply.rejected;
+        result.reachedLeaf = reply.reachedLeaf;
         result.reason = reply.reason;
         result.body = toText(reply.body);
         this->onLeafResult(node.mapped().run, std::move(result));
@@ -388,7 +399,10 @@
         this->endRun(run, {RunState::NotRun, statusOf(RefusalKind::LeafRejected), std::move(reply.body), true}, RefusalKind::LeafRejected, {});
     } else if (reply.run == RunState::NotRun) {
         run->lastReason = std::move(reply.reason);
-        this->tryNextReplica(run);
+        // What never reached the leaf may be asked of its other owner.
+        if (reply.reachedLeaf || !this->sendToNextOwner(run)) {
+            this->tryNextReplica(run);
+        }
     } else {
         logger.warning("outcome unknown", {{"ticket", run->first->ticketed.ticket.number}, {"why", reply.reason}});
         this->endRun(run, {RunState::MayHaveRun, statusOf(RefusalKind::OutcomeUnknown), {}, true}, RefusalKind::OutcomeUnknown, reply.reason);
--- a/packages/daemon/src/query_runner.cpp
+++ b/packages/daemon/src/query_runner.cpp
@@ -38,7 +38,10 @@
     /// The link to the owner; null if the owner is this host.
     transport::LinkPtr link;
     std::optional<LeafWorkHandle> local;
+    base::LeafId leaf;
     std::optional<OwnerOfLeaf> owner;
+    /// Owners that the request was sent to.
+    std::vector<base::HostId> tried;
     std::optional<std::vector<Row>> rows;
     bool answered = false;
 };
@@ -173,28 +176,41 @@
     place.shard = attempt.shard;
     place.kind = kindOf(*query, attempt);
     ++query->cost.leafRequests;
-    for (const auto &host : this->ownersToTry(*query, attempt.leaf)) {
-        if (host != this->identity.host) {
-            place.link = this->links.to(host);
-            if (place.link == nullptr) {
-                continue;
-            }
+    place.leaf = attempt.leaf;
+    if (!this->sendToNextOwner(query, attempt.attempt)) {
+        this->failLater(query->number, attempt.attempt, attempt.shard);
+    }
+}
+
+auto QueryRunner::sendToNextOwner(const RunningPtr &query, base::AttemptId attempt) -> bool
+{
+    auto &place = query->places[attempt.get()];
+    for (const auto &host : this->ownersToTry(*query, place.leaf)) {
+        if (std::find(place.tried.begin(), place.tried.end(), host) != place.tried.end()) {
+            continue;
         }
-        place.owner = OwnerOfLeaf{attempt.leaf, host};
+        const auto isSelf = host == this->identity.host;
+        place.link = isSelf ? nullptr : this->links.to(host);
+        if (!isSelf && place.link == nullptr) {
+            continue;
+        }
+        place.tried.push_back(host);
+        place.local.reset();
+        place.owner = OwnerOfLeaf{place.leaf, host};
         ++this->inFlight[*place.owner];
-        if (place.link == nullptr) {
+        if (isSelf) {
             this->sendLocal(query, attempt);
-            return;
+        } else {
+            auto item = std::make_unique<wire::LeafItemT>();
+            item->attempt = attempt.get();
+            item->shard = place.shard.get();
+            item->leaf = place.leaf.get();
+            item->kind = toWire(place.kind);
+            query->batches[place.link].items.push_back(std::move(item));
         }
-        auto item = std::make_unique<wire::LeafItemT>();
-        item->attempt = attempt.attempt.get();
-        item->shard = attempt.shard.get();
-        item->leaf = attempt.leaf.get();
-        item->kind = toWire(place.kind);
-        query->batches[place.link].items.push_back(std::move(item));
-        return;
+        return true;
     }
-    this->failLater(query->number, attempt.attempt, attempt.shard);
+    return false;
 }
 
 auto QueryRunner::ownersToTry(const RunningQuery &query, const base::LeafId &leaf) const -> std::vector<base::HostId>
@@ -247,27 +263,28 @@
     return hasOpenAttempt ? AttemptKind::Hedge : AttemptKind::Retry;
 }
 
-auto QueryRunner::sendLocal(const RunningPtr &query, const query::SendAttempt &attempt) -> void
+auto QueryRunner::sendLocal(const RunningPtr &query, base::AttemptId attempt) -> void
 {
+    const auto &place = query->places[attempt.get()];
     auto work = LeafWork();
-    work.requestName = absl::StrCat(absl::Hex(this->identity.incarnation.get()), "-", query->number, ".", attempt.attempt.get());
+    work.requestName = absl::StrCat(absl::Hex(this->identity.incarnation.get()), "-", query->number, ".", attempt.get());
     work.service = query->caller.operation.service;
-    work.leaf = attempt.leaf;
-    work.shard = attempt.shard;
+    work.leaf = place.leaf;
+    work.shard = place.shard;
     work.customer = query->caller.customer;
     work.operation = query->caller.operation.name;
     work.priority = query->caller.operation.priority;
-    work.kind = query->places[attempt.attempt.get()].kind;
+    work.kind = place.kind;
     work.deadline = query->caller.deadline;
     work.pin = query->state.pin;
     work.body = query->caller.body;
     // Posted, since the machine is still handing out actions.
-    work.reply = [this, number = query->number, id = attempt.attempt, shard = attempt.shard](const LeafWorkReply &reply) {
+    work.reply = [this, number = query->number, id = attempt, shard = place.shard](const LeafWorkReply &reply) {
         this->loop.post([this, number, id, shard, reply] {
             this->deliver(number, id, shard, reply);
         });
     };
-    query->places[attempt.attempt.get()].local = this->leafs.submit(std::move(work));
+    query->places[attempt.get()].local = this->leafs.submit(std::move(work));
 }
 
 auto QueryRunner::flushBatches(RunningQuery &query) -> void
@@ -351,6 +368,13 @@
         return;
     }
     this->noteEnded(place);
+    // What never reached a leaf may be asked of the leaf's other owner; the query is none the wiser.
+    const auto notRun = !reply.reachedLeaf && (reply.outcome == query::LeafOutcome::Shed || reply.outcome == query::LeafOutcome::Failed);
+    if (notRun && !query->state.over && this->sendToNextOwner(query, attempt)) {
+        place.answered = false;
+        this->flushBatches(*query);
+        return;
+    }
     query->cost.leafMicros += reply.costMicros;
     if (reply.outcome == query::LeafOutcome::Complete) {
         place.rows = parseRows(reply.body);
@@ -386,7 +410,7 @@
     if (query->callerLeft) {
         this->accounting.countEvent("callers_left");
     } else if (finish.refused || (covered == 0 && finish.shardsTotal > 0)) {
-        const auto kind = covered == 0 ? RefusalKind::NoShardAnswered : RefusalKind::CoverageBelowFloor;
+        const auto kind = finish.refused ? RefusalKind::CoverageBelowFloor : RefusalKind::NoShardAnswered;
         auto response = refusalResponse({kind, RunState::MayHaveRun, absl::StrCat("only ", covered, " of ", finish.shardsTotal, " shards answered"), {}});
         auto body = nlohmann::ordered_json::parse(response.body);
         body.update(labelJson(finish, query->cost));
--- a/packages/daemon/src/traffic_threads.cpp
+++ b/packages/daemon/src/traffic_threads.cpp
@@ -123,15 +123,23 @@
     });
 }
 
-auto TrafficThreads::startDraining() -> void
+auto TrafficThreads::setTakesLeafWork(bool on) -> void
 {
     for (const auto &lane : this->lanes) {
-        lane->loop.post([worker = lane->worker.get()] {
-            worker->startDraining();
+        lane->loop.post([worker = lane->worker.get(), on] {
+            worker->setTakesLeafWork(on);
         });
     }
 }
 
+auto TrafficThreads::stopIssuing() -> void
+{
+    const auto &lane = this->lanes.front();
+    lane->loop.post([worker = lane->worker.get()] {
+        worker->stopIssuing();
+    });
+}
+
 auto TrafficThreads::askIdle(std::function<void(bool)> answer) -> void
 {
     struct Tally
--- a/packages/daemon/src/worker.cpp
+++ b/packages/daemon/src/worker.cpp
@@ -74,6 +74,8 @@
       leafOwner(loop, environment.identity, environment.lease, environment.accounting),
       queryRunner(loop, environment.identity, this->links, dispatcherFor(index, environment), environment.accounting, std::uint64_t{index} << threadShift)
 {
+    // Until the shares of this host are in force.
+    this->links.setDraining(true);
     if (book) {
         this->executeRunner = std::make_unique<ExecuteRunner>(loop, environment.identity, this->links, dispatcherFor(index, environment),
                                                               environment.accounting, *std::move(book));
@@ -94,11 +96,15 @@
     this->links.adopt(std::move(detached), hello);
 }
 
-auto Worker::startDraining() -> void
+auto Worker::setTakesLeafWork(bool on) -> void
+{
+    this->links.setDraining(!on);
+}
+
+auto Worker::stopIssuing() -> void
 {
-    this->links.startDraining();
     if (this->executeRunner != nullptr) {
-        this->executeRunner->startDraining();
+        this->executeRunner->stopIssuing();
     }
 }
 
--- a/packages/transport/include/tamarackspan/transport/peer_links.h
+++ b/packages/transport/include/tamarackspan/transport/peer_links.h
@@ -43,8 +43,8 @@
     /// Takes over an incoming connection whose Hello has been read.
     auto adopt(FrameConnection::Detached detached, const wire::HelloT &hello) -> void;
 
-    /// From now on Hello and heartbeats say that this host is draining; says so at once on all links.
-    auto startDraining() -> void;
+    /// Sets whether Hello and heartbeats say that this host gets no new work; a change is told at once on all links.
+    auto setDraining(bool on) -> void;
 
     /// Returns how many links are open, both ways.
     [[nodiscard]] auto openLinks() const -> std::size_t;
--- a/packages/transport/src/peer_links.cpp
+++ b/packages/transport/src/peer_links.cpp
@@ -77,10 +77,11 @@
     this->startLink(link);
 }
 
-auto PeerLinks::startDraining() -> void
+auto PeerLinks::setDraining(bool on) -> void
 {
-    this->draining = true;
-    this->beat();
+    if (std::exchange(this->draining, on) != on) {
+        this->beat();
+    }
 }
 
 auto PeerLinks::openLinks() const -> std::size_t
--- a/packages/transport/tests/peer_links_test.cpp
+++ b/packages/transport/tests/peer_links_test.cpp
@@ -117,7 +117,7 @@
     this->sendQuery(1);
     this->loop.run();
     EXPECT_FALSE(this->client.isDraining(this->serverHost));
-    this->server.startDraining();
+    this->server.setDraining(true);
     this->loop.run();
     EXPECT_TRUE(this->client.isDraining(this->serverHost));
 }
