--- a/packages/daemon/src/execute_runner.cpp
+++ b/packages/daemon/src/execute_runner.cpp
@@ -291,8 +291,9 @@
             hosts.push_back(owner.host);
         }
     }
-    std::stable_partition(hosts.begin(), hosts.end(), [this](const base::HostId &host) {
-        return !this->links.isDraining(host);
+    // A host that says it takes no leaf work may end at any moment: what is sent to it may be cut off.
+    std::erase_if(hosts, [this](const base::HostId &host) {
+        return this->links.isDraining(host);
     });
     for (const auto &host : hosts) {
         if (std::find(run->triedOwners.begin(), run->triedOwners.end(), host) != run->triedOwners.end()) {
--- a/packages/daemon/src/query_runner.cpp
+++ b/packages/daemon/src/query_runner.cpp
@@ -234,8 +234,9 @@
             hosts.push_back(owner.host);
         }
     }
-    std::stable_partition(hosts.begin(), hosts.end(), [this](const base::HostId &host) {
-        return !this->links.isDraining(host);
+    // A host that says it takes no leaf work may end at any moment: what is sent to it may be cut off.
+    std::erase_if(hosts, [this](const base::HostId &host) {
+        return this->links.isDraining(host);
     });
     return hosts;
 }
