--- a/packages/configuration/include/tamarackspan/configuration/host_settings.h
+++ b/packages/configuration/include/tamarackspan/configuration/host_settings.h
@@ -58,7 +58,7 @@
     /// A peer that was silent for so long is taken as unreachable.
     absl::Duration peerTimeout = absl::Seconds(2);
     /// How long a watch of the platform waits for a change.
-    absl::Duration platformWait = absl::Seconds(8);
+    absl::Duration platformWait = absl::Seconds(5);
     /// A call to the platform has failed when it takes this much longer than its wait.
     absl::Duration platformTimeout = absl::Milliseconds(1500);
     /// How long a starting host waits for the platform and for peers before it serves with what it has.
--- a/packages/configuration/include/tamarackspan/configuration/read_plan.h
+++ b/packages/configuration/include/tamarackspan/configuration/read_plan.h
@@ -21,7 +21,7 @@
 struct ReadPlanSettings
 {
     /// How long a watch of the platform waits for a change.
-    absl::Duration wait = absl::Seconds(8);
+    absl::Duration wait = absl::Seconds(5);
     /// A call has failed when it takes this much longer than its wait.
     absl::Duration callTimeout = absl::Milliseconds(1500);
     /// The wait after a first failure; doubles with each further one and is jittered between half and the whole.
--- a/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
+++ b/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
@@ -74,6 +74,7 @@
     admission::LendingState lending;
     absl::flat_hash_map<base::CustomerName, Customer> customers;
     std::uint64_t ticks = 0;
+    base::Revision lastRevision;
 };
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/src/budget_keeper.cpp
+++ b/packages/daemon/src/budget_keeper.cpp
@@ -70,11 +70,13 @@
     }
     admission::expireLoans(this->lending, now);
     const auto active = this->gate.takeActive();
+    const auto revision = membership::newestRevision(this->roster);
+    const auto listChanged = std::exchange(this->lastRevision, revision) != revision;
     const auto quietTicks = ticksWhileQuiet(this->roster.config.lease, this->lending.config.interval);
     auto turn = this->ticks;
     for (auto &[name, customer] : this->customers) {
         ++turn;
-        if (!customer.quiet || turn % quietTicks == 0 || active.contains(name)) {
+        if (!customer.quiet || listChanged || turn % quietTicks == 0 || active.contains(name)) {
             this->tickCustomer(name, customer, peers, now);
             customer.quiet = !active.contains(name) && this->isQuiet(name);
         }
@@ -84,7 +86,9 @@
 auto BudgetKeeper::isQuiet(const base::CustomerName &name) const -> bool
 {
     const auto known = this->lending.customers.find(name);
-    return known != this->lending.customers.end() && known->second.loansIn.empty() && known->second.loansOut.empty() && known->second.pending.empty();
+    // A customer whose own part isn't in force yet is looked at until it is.
+    return known != this->lending.customers.end() && !admission::isEmpty(known->second.own.budget) && known->second.own.budget.concurrency > 0
+        && known->second.loansIn.empty() && known->second.loansOut.empty() && known->second.pending.empty();
 }
 
 auto BudgetKeeper::tickCustomer(const base::CustomerName &name, Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void
