Pace cost reports by their size; update idle customers when the parts come into force

Change: own reports take 1,000 bytes a second in the long run, so a longer report goes out less often; the loss when a host is killed is what it spent since its last report. All customers are updated when the host's parts come into force or the list changes, the idle ones rarely otherwise.

--- a/benches/slopes_bench.cpp
+++ b/benches/slopes_bench.cpp
@@ -12,6 +12,7 @@
 #include "tamarackspan/daemon/admission_gate.h"
 #include "tamarackspan/daemon/answer.h"
 #include "tamarackspan/daemon/budget_keeper.h"
+#include "tamarackspan/daemon/config_wire.h"
 #include "tamarackspan/daemon/cost_keeper.h"
 #include "tamarackspan/membership/overlay.h"
 #include "tamarackspan/query/query_machine.h"
@@ -229,7 +230,11 @@
         auto roster = membership::RosterState();
         roster.self = hostName(0);
         const auto now = base::monotonicNow();
-        membership::recordList(roster, {base::Revision(1), hostList(525), now}, now, absl::Seconds(1));
+        // Confirmed every second for a minute, so that the parts are in force.
+        for (auto back = 60; back >= 0; --back) {
+            const auto at = now - absl::Seconds(back);
+            membership::recordList(roster, {base::Revision(1), hostList(525), at}, at, absl::Seconds(1));
+        }
         const auto before = heapBytes();
         auto gate = daemon::AdmissionGate(admission::AdmissionConfig());
         auto keeper = daemon::BudgetKeeper({roster.self, base::Incarnation(1), base::DataCentre("a")}, admission::LendingConfig(), roster, gate,
@@ -269,6 +274,27 @@
     report("size of a cost report", "row", "bytes", sizes);
 }
 
+auto controlMessages() -> void
+{
+    auto digest = wire::ConfigDigestT();
+    digest.number = 1'000'000;
+    digest.dataCentre = "imereti-a";
+    digest.contractsDigest = ~std::uint64_t{0};
+    digest.localDigest = ~std::uint64_t{0};
+    digest.platformRevision = 1'000'000;
+    digest.confirmedAgeMicros = {1'000'000, 1'000'000, 1'000'000};
+    digest.hostListRevision = 1'000'000;
+    auto heartbeat = wire::HeartbeatT();
+    heartbeat.number = 1'000'000;
+    auto ask = admission::BudgetAsk();
+    ask.id = admission::AskId(1'000'000);
+    ask.borrower = hostName(1000);
+    ask.borrowerIncarnation = base::Incarnation(~std::uint64_t{0});
+    ask.customer = base::CustomerName("customer1000");
+    std::printf("control messages\n  digest %zu bytes, heartbeat %zu bytes, budget ask %zu bytes\n", wire::encode(digest).size(),
+                wire::encode(heartbeat).size(), wire::encode(daemon::toWire(ask)).size());
+}
+
 auto runQuery(const query::QueryRequest &request, query::QueryContext &context) -> void
 {
     auto actions = std::vector<query::Action>();
@@ -374,6 +400,7 @@
     contractDocuments();
     budgetTick();
     costReports();
+    controlMessages();
     queryOverLeafs();
     mergeOverLeafs();
     admissionOverConcurrency();
--- a/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
+++ b/packages/daemon/include/tamarackspan/daemon/budget_keeper.h
@@ -48,6 +48,9 @@
     /// Returns this host's own part of a customer's limits, before lending.
     [[nodiscard]] auto ownPartOf(const base::CustomerName &customer) const -> admission::Budget;
 
+    /// Returns whether this host's own parts are in force.
+    [[nodiscard]] auto holdsItsPart(absl::Time now) const -> bool;
+
     /// Returns the longest that a request of any customer runs.
     [[nodiscard]] auto longestHold() const noexcept -> absl::Duration;
 
@@ -75,6 +78,7 @@
     absl::flat_hash_map<base::CustomerName, Customer> customers;
     std::uint64_t ticks = 0;
     base::Revision lastRevision;
+    bool lastSettled = false;
 };
 
 } // namespace tamarackspan::daemon
--- a/packages/daemon/include/tamarackspan/daemon/cost_keeper.h
+++ b/packages/daemon/include/tamarackspan/daemon/cost_keeper.h
@@ -16,6 +16,9 @@
 class CostKeeper
 {
 public:
+    /// What a host spends on its own cost reports; long reports are sent less often.
+    static constexpr auto maxReportBytesPerSecond = 1000.0;
+
     using Sender = std::function<void(const base::HostId &, const wire::CostReportT &)>;
 
     CostKeeper(base::HostId self, const Accounting &accounting, Sender sender);
@@ -24,7 +27,8 @@
     auto onReport(const wire::CostReportT &report, absl::Time now) -> void;
 
     /// Sends this host's report to its holders among `hosts`, and passes the reports of incarnations that have ended on to theirs when the hosts have changed.
-    auto tick(const std::vector<base::HostId> &hosts, absl::Time now) -> void;
+    /// Returns how long to wait before the next call, so that the reports take no more than maxReportBytesPerSecond in the long run.
+    auto tick(const std::vector<base::HostId> &hosts, absl::Time now) -> absl::Duration;
 
     /// Passes everything held on, before this process ends.
     auto handOver(const std::vector<base::HostId> &hosts, absl::Time now) -> void;
--- a/packages/daemon/src/budget_keeper.cpp
+++ b/packages/daemon/src/budget_keeper.cpp
@@ -71,24 +71,31 @@
     admission::expireLoans(this->lending, now);
     const auto active = this->gate.takeActive();
     const auto revision = membership::newestRevision(this->roster);
-    const auto listChanged = std::exchange(this->lastRevision, revision) != revision;
+    const auto settled = this->holdsItsPart(now);
+    const auto partsChanged = std::exchange(this->lastRevision, revision) != revision || std::exchange(this->lastSettled, settled) != settled;
     const auto quietTicks = ticksWhileQuiet(this->roster.config.lease, this->lending.config.interval);
     auto turn = this->ticks;
     for (auto &[name, customer] : this->customers) {
         ++turn;
-        if (!customer.quiet || listChanged || turn % quietTicks == 0 || active.contains(name)) {
+        if (!customer.quiet || partsChanged || turn % quietTicks == 0 || active.contains(name)) {
             this->tickCustomer(name, customer, peers, now);
             customer.quiet = !active.contains(name) && this->isQuiet(name);
         }
     }
 }
 
+auto BudgetKeeper::holdsItsPart(absl::Time now) const -> bool
+{
+    const auto *list = membership::newestList(this->roster);
+    // A limit of one unit for each host gives each host one.
+    const auto oneEach = list == nullptr ? 0U : static_cast<std::uint32_t>(list->hosts.size());
+    return membership::partInForce(this->roster, oneEach, "one each", this->longestHold(), now).units > 0;
+}
+
 auto BudgetKeeper::isQuiet(const base::CustomerName &name) const -> bool
 {
     const auto known = this->lending.customers.find(name);
-    // A customer whose own part isn't in force yet is looked at until it is.
-    return known != this->lending.customers.end() && !admission::isEmpty(known->second.own.budget) && known->second.own.budget.concurrency > 0
-        && known->second.loansIn.empty() && known->second.loansOut.empty() && known->second.pending.empty();
+    return known != this->lending.customers.end() && known->second.loansIn.empty() && known->second.loansOut.empty() && known->second.pending.empty();
 }
 
 auto BudgetKeeper::tickCustomer(const base::CustomerName &name, Customer &customer, const std::vector<base::HostId> &peers, absl::Time now) -> void
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -169,7 +169,6 @@
 
 auto Control::holdsItsPart(absl::Time now) const -> bool
 {
-    const auto hold = this->budgetKeeper.longestHold();
     const auto *list = membership::newestList(this->roster);
     if (list == nullptr) {
         return false;
@@ -179,10 +178,9 @@
     });
     if (!listed) {
         // It lives on what it borrows; those that it is to borrow from have had the time to learn of it.
-        return now >= this->startedAt + membership::growthWindow(this->roster.config, hold);
+        return now >= this->startedAt + membership::growthWindow(this->roster.config, this->budgetKeeper.longestHold());
     }
-    const auto oneEach = static_cast<std::uint32_t>(list->hosts.size());
-    return membership::partInForce(this->roster, oneEach, "ready", hold, now).units > 0;
+    return this->budgetKeeper.holdsItsPart(now);
 }
 
 auto Control::leafSharesInForce(absl::Time now) const -> bool
@@ -582,8 +580,8 @@
 
 auto Control::tickCosts() -> void
 {
-    this->costKeeper.tick(this->listedHosts(), base::monotonicNow());
-    this->loop.runAt(base::monotonicNow() + this->hostSettings.timing.costReport, [this] {
+    const auto wait = this->costKeeper.tick(this->listedHosts(), base::monotonicNow());
+    this->loop.runAt(base::monotonicNow() + std::max(wait, this->hostSettings.timing.costReport), [this] {
         this->tickCosts();
     });
 }
--- a/packages/daemon/src/cost_keeper.cpp
+++ b/packages/daemon/src/cost_keeper.cpp
@@ -1,6 +1,7 @@
 #include "tamarackspan/daemon/cost_keeper.h"
 
 #include "tamarackspan/daemon/config_wire.h"
+#include "tamarackspan/wire/codec.h"
 
 #include <memory>
 #include <utility>
@@ -51,20 +52,24 @@
     costs::takeReport(this->archive, fromWire(report), now);
 }
 
-auto CostKeeper::tick(const std::vector<base::HostId> &hosts, absl::Time now) -> void
+auto CostKeeper::tick(const std::vector<base::HostId> &hosts, absl::Time now) -> absl::Duration
 {
     costs::expireReports(this->archive, now);
     const auto own = this->accounting.costReport();
     const auto message = toWire(own);
+    const auto bytes = wire::encode(message).size();
+    auto sent = std::size_t{0};
     for (const auto &holder : costs::chooseHolders(own.incarnation, hosts)) {
         if (holder != this->self) {
             this->sender(holder, message);
+            sent += bytes;
         }
     }
     if (hosts != this->lastHosts) {
         this->lastHosts = hosts;
         this->passOn(hosts, now);
     }
+    return absl::Seconds(static_cast<double>(sent) / maxReportBytesPerSecond);
 }
 
 auto CostKeeper::handOver(const std::vector<base::HostId> &hosts, absl::Time now) -> void
