Know that nothing was sent on a connection that never came about

Change: without the peer's Hello nothing has left, so the request was not run and another replica is asked.

--- a/packages/daemon/src/execute_runner.cpp
+++ b/packages/daemon/src/execute_runner.cpp
@@ -383,7 +383,8 @@
     for (const auto &entry : lost) {
         if (entry.run != nullptr) {
             auto reply = LeafWorkReply();
-            reply.run = RunState::MayHaveRun;
+            // Before the peer's Hello everything is held back: on a connection that never came about, nothing was sent.
+            reply.run = link->peerIncarnation() == base::Incarnation() ? RunState::NotRun : RunState::MayHaveRun;
             reply.reason = "the connection to the leaf's owner was lost";
             this->onLeafResult(entry.run, std::move(reply));
         } else {
