Share the set-up of the tests of leafs' caps; drop a scaling that had no effect

Cause: three test programs held the same four definitions, and the control thread scaled a read rate that setHosts replaces at once. Change: tests/answers/binding_caps.h; the scaling is gone.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -26,8 +26,6 @@
 constexpr auto maxQuestions = std::size_t{4096};
 /// The part of the lease for which a watch of the host list waits.
 constexpr auto hostListWaitPart = 0.3;
-/// The lease with which a host's reads fit the platform's budget; a shorter one needs more reads in proportion.
-constexpr auto budgetedLease = absl::Seconds(10);
 constexpr auto hostListPrefix = std::size_t{2};
 
 auto readPlanSettings(const configuration::HostSettings &settings) -> configuration::ReadPlanSettings
@@ -36,7 +34,6 @@
     result.wait = settings.timing.platformWait;
     result.callTimeout = settings.timing.platformTimeout;
     result.startWait = settings.timing.startWait;
-    result.budget.perSecond *= std::max(1.0, absl::FDivDuration(budgetedLease, settings.timing.lease));
     return result;
 }
 
--- /dev/null
+++ b/tests/answers/binding_caps.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "deployment.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tamarackspan::answers {
+
+/// What is judged where the caps of leafs are tried.
+inline const auto judgedRules = std::vector<std::string>{"slot-cap", "connection-cap", "one-snapshot", "true-coverage"};
+
+/// Caps that bind: no more connections than slots, and more callers than both.
+inline auto narrow(std::uint32_t slots, std::uint32_t connections) -> Json
+{
+    return {{"slots", slots}, {"connections", connections}, {"exponential", true}, {"mean_us", 4000}};
+}
+
+/// A service whose leafs have these caps.
+inline auto narrowService(std::uint32_t slots, std::uint32_t connections) -> PublishedService
+{
+    auto service = PublishedService();
+    service.slots = slots;
+    service.connections = connections;
+    return service;
+}
+
+/// A load that fills the caps.
+inline auto heavy(const Deployment &deployment, const std::vector<std::size_t> &hosts, std::uint64_t seed) -> testkit::LoadOptions
+{
+    auto options = deployment.load("labelled", hosts, seed);
+    options.inFlight = 24;
+    options.deadline = absl::Milliseconds(400);
+    options.timeout = absl::Seconds(5);
+    return options;
+}
+
+} // namespace tamarackspan::answers
