Take over sockets that libcurl drops while they connect

Cause: libcurl 7.88 closes a socket that is still connecting with close() and doesn't call the close callback.

Ruled out: a second close in the test's server (it closes at its end only), in EventLoop, and a number mixed up by the tool: without ThreadSanitizer the descriptors of /dev/null opened after a timeout were closed by the client as well.

Change: before libcurl drops a request, a socket that isn't connected is duplicated and closed under the duplicate, as any other; the client's own timer ends connections that don't come about.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -261,7 +261,7 @@
         this->spare.pop_back();
         return easy;
     }
-    auto easy = impl::makeEasy(this->options);
+    auto easy = impl::makeEasy();
     curl_easy_setopt(easy.get(), CURLOPT_OPENSOCKETFUNCTION, onOpenSocket);
     curl_easy_setopt(easy.get(), CURLOPT_CLOSESOCKETFUNCTION, onCloseSocket);
     curl_easy_setopt(easy.get(), CURLOPT_CLOSESOCKETDATA, this);
@@ -282,11 +282,14 @@
     base::require(added == CURLM_OK, "libcurl takes a prepared handle");
 }
 
-/// Ends libcurl's part in a transfer; a connection on which it was sent and not yet answered is closed.
+/// Ends libcurl's part in a transfer; a connection that is not established, or on which it was sent and not yet answered, is closed.
 auto Client::Core::takeBack(impl::Transfer &transfer) -> void
 {
     this->assign(transfer, transfer.fd);
+    this->loop.cancelTimer(std::exchange(transfer.connectTimer, 0));
+    const auto held = this->connections.hold(transfer.fd, transfer.id);
     curl_multi_remove_handle(this->multi, transfer.easy.get());
+    this->connections.takeOver(transfer.fd, transfer.id, held);
     transfer.fd = -1;
     if (this->spare.size() < spareHandles) {
         this->spare.push_back(std::move(transfer.easy));
@@ -426,6 +429,9 @@
         return CURL_SOCKET_BAD;
     }
     core.assign(transfer, fd);
+    transfer.connectTimer = core.loop.runAt(base::monotonicNow() + core.options.connectTimeout, [&core, id = transfer.id] {
+        core.endEarly(id, Outcome::ConnectFailed);
+    });
     return fd;
 }
 
@@ -442,6 +448,9 @@
         transfer.stop = impl::Stop::Resend;
         return CURL_PREREQFUNC_ABORT;
     }
+    auto &core = *static_cast<Core *>(transfer.owner);
+    core.connections.markEstablished(transfer.fd);
+    core.loop.cancelTimer(std::exchange(transfer.connectTimer, 0));
     transfer.response.bytesMayHaveBeenSent = true;
     return CURL_PREREQFUNC_OK;
 }
--- a/packages/http/src/connections.cpp
+++ b/packages/http/src/connections.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <cstddef>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -256,10 +257,54 @@
     }
 }
 
+auto Connections::markEstablished(int fd) -> void
+{
+    const auto found = this->sockets.find(fd);
+    if (found != this->sockets.end()) {
+        found->second.established = true;
+    }
+}
+
+auto Connections::isConnecting(int fd, UserId user) const -> bool
+{
+    const auto found = this->sockets.find(fd);
+    return found != this->sockets.end() && found->second.user == user && !found->second.established && found->second.state == SocketState::Busy;
+}
+
+auto Connections::hold(int fd, UserId user) -> int
+{
+    if (!this->isConnecting(fd, user)) {
+        return -1;
+    }
+    // The loop's watch would outlive the descriptor, as the duplicate keeps the socket open.
+    this->loop.unwatch(fd);
+    this->sockets.at(fd).watched = 0;
+    return fcntl(fd, F_DUPFD_CLOEXEC, 0);
+}
+
+auto Connections::takeOver(int fd, UserId user, int held) -> void
+{
+    if (!this->isConnecting(fd, user)) {
+        if (held >= 0) {
+            close(held);
+        }
+        return;
+    }
+    auto socket = this->sockets.at(fd);
+    this->sockets.erase(fd);
+    if (held < 0) {
+        this->setState(socket, SocketState::Gone);
+        return;
+    }
+    this->setState(socket, SocketState::Closing);
+    auto &kept = this->sockets[held] = socket;
+    this->shutDown(held, kept);
+}
+
 auto Connections::markIdle(int fd, UserId user, absl::Time now) -> void
 {
     const auto found = this->sockets.find(fd);
-    if (found == this->sockets.end() || found->second.user != user) {
+    if (found == this->sockets.end() || found->second.user != user || !found->second.established) {
         return;
     }
     found->second.lastUsed = now;
--- a/packages/http/src/connections.h
+++ b/packages/http/src/connections.h
@@ -69,7 +69,18 @@
     /// Notes that a socket carries this request now.
     auto markBusy(int fd, UserId user) -> void;
 
-    /// Notes that the exchange of a request has ended well and that libcurl keeps the socket; it stays busy if libcurl has given it to another request by now.
+    /// Notes that a socket is connected: from now on libcurl gives it back before it is closed.
+    auto markEstablished(int fd) -> void;
+
+    /// Duplicates the descriptor of a request's socket that is not connected yet, to be called before libcurl drops it: libcurl 7.88 closes such a socket
+    /// itself, while the server may count the connection already. Returns -1 if the socket is connected, isn't the request's, or no descriptor is left.
+    [[nodiscard]] auto hold(int fd, UserId user) -> int;
+
+    /// Ends what `hold` began once libcurl has dropped the socket: closes it under the held descriptor as `giveBack` does, unless libcurl gave it back.
+    auto takeOver(int fd, UserId user, int held) -> void;
+
+    /// Notes that the exchange of a request has ended well and that libcurl keeps the socket; it stays busy if libcurl has given it to another request by now,
+    /// or if it was never connected.
     auto markIdle(int fd, UserId user, absl::Time now) -> void;
 
     /// Shuts down the pool's longest idle socket to make room. Returns false if there is none, or if one is being closed already.
@@ -95,6 +106,7 @@
         PoolNumber pool = 0;
         SocketState state = SocketState::Busy;
         UserId user = 0;
+        bool established = false;
         /// The events watched for in the loop; 0 if not watched.
         std::uint32_t watched = 0;
         /// The events that libcurl waits for.
@@ -105,6 +117,8 @@
         bool shutBoth = false;
     };
 
+    /// Tells whether a socket is the request's and not connected yet.
+    [[nodiscard]] auto isConnecting(int fd, UserId user) const -> bool;
     auto shutDown(int fd, Socket &socket) -> void;
     auto onEvents(int fd, std::uint32_t events) -> void;
     auto onServerClosed(int fd) -> void;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -173,7 +173,7 @@
     return known && hasIpHost(request.url) && std::all_of(request.headers.begin(), request.headers.end(), isPlainHeader);
 }
 
-auto makeEasy(const ClientOptions &options) -> EasyHandle
+auto makeEasy() -> EasyHandle
 {
     auto easy = EasyHandle(curl_easy_init());
     base::require(easy != nullptr, "out of memory");
@@ -186,7 +186,8 @@
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 1L);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(absl::ToInt64Milliseconds(options.connectTimeout)));
+    // The client ends connections that don't come about itself: libcurl 7.88 closes their descriptors without giving them back.
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(absl::ToInt64Milliseconds(absl::Hours(24))));
     // The client closes idle connections itself, so that it knows when the server has closed them too.
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(absl::ToInt64Seconds(absl::Hours(24))));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -53,6 +53,8 @@
     /// The client that the transfer belongs to, for libcurl's callbacks.
     void *owner = nullptr;
     transport::TimerId timer = 0;
+    /// Ends the wait for a new connection.
+    transport::TimerId connectTimer = 0;
     /// Held while the request is with libcurl.
     EasyHandle easy;
     HeaderList headers;
@@ -71,7 +73,7 @@
 [[nodiscard]] auto authorityOf(std::string_view url) -> std::string;
 
 /// Makes an easy handle with everything that all transfers share.
-[[nodiscard]] auto makeEasy(const ClientOptions &options) -> EasyHandle;
+[[nodiscard]] auto makeEasy() -> EasyHandle;
 
 /// Sets what is special to this transfer on its easy handle, and hangs it up in the handle's private pointer.
 auto prepare(Transfer &transfer, bool freshConnection) -> void;
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -1,3 +1,4 @@
+#include "full_server.h"
 #include "raw_server.h"
 #include "test_loop.h"
 
@@ -6,7 +7,9 @@
 #include "absl/time/clock.h"
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace {
 
@@ -50,6 +53,41 @@
     }
 }
 
+/// Expects that a connection that doesn't come about within the limits is neither counted nor closed any more once its request has ended.
+auto expectForgotten(ClientOptions options, absl::Duration timeout, Outcome outcome)
+{
+    const auto server = test::FullServer();
+    auto loop = std::make_unique<TestLoop>(options);
+    auto request = requestTo(server.port(), "GET", "/");
+    request.timeout = timeout;
+    const auto response = loop->exchange(request);
+    EXPECT_EQ(response.outcome, outcome);
+    EXPECT_FALSE(response.bytesMayHaveBeenSent);
+    auto others = std::vector<int>();
+    for (auto i = 0; i < 8; ++i) {
+        others.push_back(open("/dev/null", O_RDONLY | O_CLOEXEC));
+    }
+    const auto patience = absl::Now() + absl::Seconds(5);
+    while (loop->poolCounts(std::to_string(server.port())) != PoolCounts{} && absl::Now() < patience) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    EXPECT_EQ(loop->poolCounts(std::to_string(server.port())), PoolCounts{});
+    loop.reset();
+    for (const auto fd : others) {
+        EXPECT_EQ(close(fd), 0) << "descriptor " << fd << " was closed by the client";
+    }
+}
+
+TEST(Client, ForgetsAConnectionThatIsNotEstablishedWhenItsRequestEnds)
+{
+    expectForgotten({}, absl::Milliseconds(50), Outcome::Timeout);
+}
+
+TEST(Client, ForgetsAConnectionThatIsNotEstablishedInTime)
+{
+    expectForgotten({.connectTimeout = absl::Milliseconds(50)}, absl::Seconds(5), Outcome::ConnectFailed);
+}
+
 TEST(Client, SaysThatARequestMayHaveBeenSentWhenTheConnectionCloses)
 {
     auto server = RawServer(always({.close = true}));
--- /dev/null
+++ b/packages/http/tests/full_server.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace tamarackspan::http::test {
+
+/// A listening socket whose queue of new connections is full: connections to it stay unestablished.
+class FullServer
+{
+public:
+    FullServer();
+    ~FullServer();
+    FullServer(const FullServer &) = delete;
+    auto operator=(const FullServer &) -> FullServer & = delete;
+
+    [[nodiscard]] auto port() const -> std::uint16_t;
+
+private:
+    int listenFd;
+    std::uint16_t boundPort = 0;
+    std::vector<int> waiting;
+};
+
+} // namespace tamarackspan::http::test
