Tell a host whose clock was set back that an earlier start is taken for newer

Cause: a host's record is ordered by the time of day of its start. After the clock was set back between two starts, others kept the earlier start and dropped all reports of the later one until it was forgotten, a minute later: no query was handed to that host, and it counted as silent.

Ruled out: CLOCK_BOOTTIME instead of the time of day: it begins again when a machine loses power.

Change: a host that hears of a later start of its own moves its start behind that one; others reply to a sender whose earlier start they hold for newer, with that record.

Test: HostCensus.AHostThatStartsWithItsClockSetBackIsHeardAfterOneReply failed before, passes.

--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -22,7 +22,7 @@
     std::uint32_t capacity = 0;
     /// True once the host is told to stop.
     bool stopping = false;
-    /// Unix milliseconds of the process's start, by the host's own clock; tells its starts apart.
+    /// Unix milliseconds of the process's start, by the host's own clock, or more after that clock was set back; tells its starts apart.
     std::uint64_t incarnation = 0;
     /// Grows with each report of the host itself.
     std::uint64_t sequence = 0;
@@ -112,7 +112,7 @@
     /// Takes in a report.
     auto take(const HostReport &report, absl::Time now) -> void;
 
-    /// Takes in what another host said of itself or passed on.
+    /// Takes in what another host said of itself or passed on. If a record names a later start of this very host, the host's own start is moved behind it.
     auto note(const HostRecord &record, absl::Time now) -> void;
 
     /// Counts one more report of this host and returns its record.
@@ -158,7 +158,12 @@
     /// Returns a report of up to `count` records.
     [[nodiscard]] auto makeReport(std::size_t count, bool wantsReply, base::Random &random, absl::Time now) const -> HostReport;
 
-    /// Returns a report of up to `count` records in reply to a host, which names first the strongest hosts of its data centre.
+    /// Tells whether an earlier start of the sender is taken for newer than the one that its record names, since the sender's clock was set back meanwhile. The
+    /// sender has to be told: until then its reports count for nothing.
+    [[nodiscard]] auto holdsEarlierStart(const HostRecord &sender) const -> bool;
+
+    /// Returns a report of up to `count` records in reply to a host, which names first the strongest hosts of its data centre; besides the host's own earlier
+    /// start, if holdsEarlierStart().
     [[nodiscard]] auto makeReply(const HostRecord &asker, std::size_t count, base::Random &random, absl::Time now) const -> HostReport;
 
 private:
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -165,8 +165,8 @@
         const auto now = base::monotonicNow();
         this->census.take(*report, now);
         this->onReport(report->records.front());
-        if (report->wantsReply) {
-            const auto &asker = report->records.front();
+        const auto &asker = report->records.front();
+        if (report->wantsReply || this->census.holdsEarlierStart(asker)) {
             this->sendTo(asker.ip, encodeReport(this->census.makeReply(asker, this->settings.records, this->random, now)));
         }
     }
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -1,6 +1,7 @@
 #include "tamarackspan/census/host_census.h"
 
 #include <algorithm>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -125,12 +126,30 @@
 
 auto HostCensus::makeReply(const HostRecord &asker, std::size_t count, base::Random &random, absl::Time now) const -> HostReport
 {
-    return {.records = this->recordsToPassOn(count, asker.dataCentre, random, now), .known = this->hosts.size()};
+    auto records = this->recordsToPassOn(count, asker.dataCentre, random, now);
+    if (this->holdsEarlierStart(asker)) {
+        records.push_back(this->hosts.at(asker.name).record);
+    }
+    return {.records = std::move(records), .known = this->hosts.size()};
+}
+
+auto HostCensus::holdsEarlierStart(const HostRecord &sender) const -> bool
+{
+    const auto known = this->hosts.find(sender.name);
+    return known != this->hosts.end() && sender.name != this->ownName && known->second.record.incarnation > sender.incarnation;
 }
 
 auto HostCensus::note(const HostRecord &record, absl::Time now) -> void
 {
-    if (record.name == this->ownName || record.name.empty()) {
+    if (record.name == this->ownName) {
+        // The time of day was set back between two starts of this host: others hold the earlier one to be newer.
+        auto &own = this->hosts[this->ownName].record;
+        if (record.incarnation > own.incarnation && record.incarnation < std::numeric_limits<std::uint64_t>::max()) {
+            own.incarnation = record.incarnation + 1;
+        }
+        return;
+    }
+    if (record.name.empty()) {
         return;
     }
     const auto [place, isNew] = this->hosts.try_emplace(record.name, KnownHost{.record = record, .heardAt = now});
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -61,6 +62,37 @@
     EXPECT_FALSE(census.alive(start + absl::Seconds(1)).front().stopping);
 }
 
+// The time of day was set back by seconds between two starts: without a word of the others, nobody would hear the host for a minute.
+TEST(HostCensus, AHostThatStartsWithItsClockSetBackIsHeardAfterOneReply)
+{
+    auto random = base::Random(1);
+    auto other = HostCensus(record("1"), {}, start);
+    auto before = record("2", 500);
+    before.incarnation = 9000;
+    before.sequence = 300;
+    other.note(before, start);
+    auto again = record("2", 500);
+    again.incarnation = 4000;
+    auto restarted = HostCensus(again, {}, start + absl::Seconds(8));
+    const auto now = start + absl::Seconds(8);
+    other.take(restarted.makeReport(10, false, random, now), now);
+    EXPECT_TRUE(other.strongerNeighbours(now).empty());
+    ASSERT_TRUE(other.holdsEarlierStart(restarted.self()));
+    restarted.take(other.makeReply(restarted.self(), 10, random, now), now);
+    other.take(restarted.makeReport(10, false, random, now), now);
+    EXPECT_EQ(other.strongerNeighbours(now), std::vector{restarted.self()});
+    EXPECT_FALSE(other.holdsEarlierStart(restarted.self()));
+}
+
+TEST(HostCensus, AnImpossibleStartOfItsOwnIsIgnored)
+{
+    auto census = HostCensus(record("1"), {}, start);
+    auto forged = record("1");
+    forged.incarnation = std::numeric_limits<std::uint64_t>::max();
+    census.note(forged, start);
+    EXPECT_EQ(census.self().incarnation, 1);
+}
+
 TEST(HostCensus, HandsNothingToEqualStoppingOrRemoteHosts)
 {
     auto census = HostCensus(record("1", 120), {}, start);
