Part the gateway: a request's state and the messages between hosts in files of their own

They are in src/impl now. StreamClient::drop loses a delay that no caller asked for; one predicate says where a query is worth handing on, instead of the same comparison three times.

No change of behaviour.

--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -14,6 +14,12 @@
 /// Of its strongest hosts a data centre's newcomer is told this many: enough to go on when one of them is lost.
 constexpr auto strongestNamed = std::size_t{3};
 
+/// Returns whether a query is worth handing from a host of one capacity to one of the other.
+auto outclasses(std::uint32_t capacity, std::uint32_t other) -> bool
+{
+    return capacity >= other * worthTheHop;
+}
+
 auto isNewer(const HostRecord &record, const HostRecord &known) -> bool
 {
     return std::pair(record.incarnation, record.sequence) > std::pair(known.incarnation, known.sequence);
@@ -29,7 +35,7 @@
         capacity = std::max(capacity, host->capacity);
     }
     return static_cast<std::size_t>(std::ranges::count_if(hosts, [&greatest](const HostRecord *host) {
-        return greatest[host->dataCentre] < host->capacity * worthTheHop;
+        return !outclasses(greatest[host->dataCentre], host->capacity);
     }));
 }
 
@@ -241,7 +247,7 @@
 {
     const auto &own = this->self();
     return std::ranges::none_of(this->within(this->terms.sharesFor, now), [&own](const HostRecord *record) {
-        return record->dataCentre == own.dataCentre && record->capacity >= own.capacity * worthTheHop;
+        return record->dataCentre == own.dataCentre && outclasses(record->capacity, own.capacity);
     });
 }
 
@@ -250,7 +256,7 @@
     auto found = this->alive(now);
     const auto &own = this->self();
     std::erase_if(found, [&own](const HostRecord &record) {
-        return record.stopping || record.dataCentre != own.dataCentre || record.capacity < own.capacity * worthTheHop;
+        return record.stopping || record.dataCentre != own.dataCentre || !outclasses(record.capacity, own.capacity);
     });
     return found;
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,5 +1,8 @@
 #include "tamarackspan/gateway/gateway.h"
 
+#include "impl/neighbour_message.h"
+#include "impl/request_work.h"
+
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/gateway/admission_decision.h"
 #include "tamarackspan/gateway/gather_decision.h"
@@ -8,13 +11,10 @@
 #include "tamarackspan/gateway/record_merge.h"
 #include "tamarackspan/gateway/weighted_choice.h"
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -22,6 +22,8 @@
 
 namespace {
 
+using namespace impl;
+
 /// After a refusal for want of leafs: they are published again, or a configuration names others, within about this time.
 constexpr auto comeBackForLeafs = absl::Milliseconds(700);
 /// Callers wait for a third of their remaining time at most when they are told to come back.
@@ -56,15 +58,8 @@
 constexpr auto mostHandOvers = std::uint32_t{3};
 /// A host that hands its queries on keeps connections to leafs of shards this long only: their number is shared among the hosts that take queries.
 constexpr auto visitorIdleLimit = absl::Seconds(1);
-/// Tell the host that takes a query how much of the caller's time is used, in microseconds, and how many attempts.
-constexpr auto usedTimeHeader = "Tamarackspan-Used-Time";
-constexpr auto usedAttemptsHeader = "Tamarackspan-Used-Attempts";
-/// Tells the host that handed a query on which data centres are out of reach, if the query was refused for that.
-constexpr auto outOfReachHeader = "Tamarackspan-Out-Of-Reach";
 /// After a refusal because data centres are out of reach: by then the balancer has missed two checks a second apart and sends callers elsewhere.
 constexpr auto comeBackElsewhere = absl::Milliseconds(2100);
-/// Requests of an operation count half after this when it is asked which part of them can be served.
-constexpr auto demandHalfLife = absl::Seconds(5);
 
 /// Returns the name of the connections to another host.
 auto neighbourPool(const std::string &host) -> std::string
@@ -72,195 +67,12 @@
     return "host " + host;
 }
 
-/// Returns a query as it goes to another host.
-auto handedOnRequest(const http::StreamMessage &message, absl::Duration used, std::uint32_t attemptsUsed) -> std::string
-{
-    auto text = absl::StrCat(message.method, " ", message.target, " HTTP/1.1\r\n", usedTimeHeader, ": ", absl::ToInt64Microseconds(used), "\r\n",
-                             usedAttemptsHeader, ": ", attemptsUsed, "\r\n");
-    for (const auto &header : http::endToEndHeaders(message.headers)) {
-        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
-    }
-    absl::StrAppend(&text, "Content-Length: ", message.body.size(), "\r\n\r\n", message.body);
-    return text;
-}
-
 /// The reason of a refusal because data centres are out of reach, for the log.
 constexpr auto refusedOutOfReach = std::string_view("data centres that hold its leafs are out of reach");
 
 /// Leafs get at least this as their time, so that none is told to stop before it begins.
 constexpr auto leastPatience = absl::Milliseconds(1);
 
-/// One request to one leaf.
-struct Attempt
-{
-    std::shared_ptr<KnownLeaf> leaf;
-    http::CallId call = 0;
-    absl::Time calledAt;
-    bool sent = false;
-    /// The leaf has said that it did not run it.
-    bool refused = false;
-    bool open = true;
-    bool silenceNoted = false;
-};
-
-/// One service that a request asks: a shard, or the only one.
-struct Slot
-{
-    KnownService *service = nullptr;
-    std::vector<Attempt> attempts{};
-    bool in = false;
-    bool failed = false;
-    http::StreamMessage response{};
-    std::string signature{};
-    /// A leaf's own failure, passed on if nothing better comes.
-    bool hasFailure = false;
-};
-
-/// What is kept about an operation across configurations.
-struct OperationMemory
-{
-    LatencyEstimate estimate;
-    WeightedTurns turns{};
-    /// Recent requests, those further back counting less, as of the last one.
-    double demand = 0.0;
-    absl::Time demandAt = absl::InfinitePast();
-    ReturnPlaces returnPlaces{};
-    metrics::CounterId answered{};
-    metrics::CounterId thin{};
-    metrics::CounterId refused{};
-    metrics::CounterId failed{};
-    metrics::HistogramId latency{};
-};
-
-/// An operation with its services looked up.
-struct Resolved
-{
-    const Operation *operation = nullptr;
-    OperationMemory *memory = nullptr;
-    std::vector<KnownService *> services{};
-    /// The most connections to a leaf of each service, of all hosts together.
-    std::vector<std::uint32_t> connections{};
-    std::vector<double> weights{};
-};
-
-/// A catalogue in force.
-struct Published
-{
-    std::shared_ptr<const Catalogue> catalogue;
-    CatalogueIndex index;
-    absl::flat_hash_map<const Operation *, Resolved> resolved{};
-
-    explicit Published(std::shared_ptr<const Catalogue> given)
-        : catalogue(std::move(given)),
-          index(*this->catalogue)
-    {
-    }
-};
-
-/// A caller's request under way.
-struct Work
-{
-    http::StreamServer *server = nullptr;
-    http::ExchangeId exchange = 0;
-    CallerRequest request{};
-    http::StreamMessage message{};
-    std::string common{};
-    std::shared_ptr<const Published> published;
-    const Resolved *resolved = nullptr;
-    absl::Time arrivedAt;
-    absl::Time objectiveAt;
-    absl::Time deadlineAt;
-    std::vector<Slot> slots{};
-    std::vector<std::uint32_t> connections{};
-    std::size_t in = 0;
-    std::uint32_t hedges = 0;
-    std::uint32_t retries = 0;
-    bool ended = false;
-    /// What went wrong last with a leaf, for the log.
-    std::string lastFailure{};
-    absl::Duration comeBack = absl::ZeroDuration();
-    /// The part of the caller's time that had passed, or is kept for the way back, when the request came.
-    absl::Duration reserve = absl::ZeroDuration();
-    /// The call to the host that the query was handed to, and that host's name.
-    http::CallId handedCall = 0;
-    std::string handedTo{};
-    std::uint32_t handOvers = 0;
-    /// When the request was given to a connection to that host, and whether that host has said that it has read it.
-    std::optional<absl::Time> handedAt{};
-    bool acknowledged = false;
-    /// No leaf of a shard is asked after another one that may have run the request before this time.
-    absl::Time secondRequestsFrom = absl::InfinitePast();
-    /// How many attempts at leafs other hosts may have used up.
-    std::uint32_t attemptsElsewhere = 0;
-    /// A host that the query was handed to before may have asked leafs.
-    bool askedElsewhere = false;
-    transport::TimerId timer = 0;
-    absl::Time timerAt = absl::InfiniteFuture();
-    /// Another host handed it on.
-    bool fromNeighbour = false;
-
-    [[nodiscard]] auto operation() const -> const Operation &
-    {
-        return *this->resolved->operation;
-    }
-    [[nodiscard]] auto isGather() const -> bool
-    {
-        return !this->operation().shards.empty();
-    }
-};
-using SharedWork = std::shared_ptr<Work>;
-/// Exchanges are counted by each server for itself.
-using WorkKey = std::pair<const http::StreamServer *, http::ExchangeId>;
-
-/// Returns how many recent requests an operation has had.
-auto demandOf(const OperationMemory &memory, absl::Time now) -> double
-{
-    return memory.demand == 0.0 ? 0.0 : memory.demand * std::exp2(-absl::FDivDuration(std::max(now - memory.demandAt, absl::ZeroDuration()), demandHalfLife));
-}
-
-auto sentCount(const Slot &slot) -> std::size_t
-{
-    return static_cast<std::size_t>(std::ranges::count_if(slot.attempts, &Attempt::sent));
-}
-
-/// Returns whether any leaf may have run a request because of this host: it was sent there, or to another host, and nobody has said that it was not run.
-auto mayHaveRun(const Work &work) -> bool
-{
-    return work.askedElsewhere || (work.handedCall != 0 && work.handedAt.has_value()) || std::ranges::any_of(work.slots, [](const Slot &slot) {
-               return std::ranges::any_of(slot.attempts, [](const Attempt &attempt) {
-                   return attempt.sent && !attempt.refused;
-               });
-           });
-}
-
-auto hasOpenAttempt(const Slot &slot) -> bool
-{
-    return std::ranges::any_of(slot.attempts, &Attempt::open);
-}
-
-/// What slow leafs a log line names, at most.
-constexpr auto namedLeafs = std::size_t{6};
-
-auto describeSlots(const Work &work) -> std::string
-{
-    auto text = std::string();
-    auto named = std::size_t{0};
-    for (const auto &slot : work.slots) {
-        if (slot.in && slot.attempts.size() == 1 && work.isGather()) {
-            continue;
-        }
-        if (++named > namedLeafs) {
-            absl::StrAppend(&text, " ...");
-            break;
-        }
-        absl::StrAppend(&text, text.empty() ? "" : " ", slot.service->name, slot.in ? "=in" : slot.failed ? "=failed" : "=open");
-        for (const auto &attempt : slot.attempts) {
-            absl::StrAppend(&text, ",", attempt.leaf->entry.id, attempt.sent ? "" : "(unsent)", attempt.open ? "(open)" : "");
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 struct Gateway::Core
@@ -545,7 +357,7 @@
             return;
         }
         --condition.inFlight;
-        this->client.drop(std::exchange(work->handedCall, 0), absl::ZeroDuration());
+        this->client.drop(std::exchange(work->handedCall, 0));
         work->attemptsElsewhere += work->handedAt.has_value() ? 1 : 0;
         work->askedElsewhere = work->askedElsewhere || work->handedAt.has_value();
         this->handOnAgain(work);
@@ -837,7 +649,7 @@
             if (attempt.open) {
                 attempt.open = false;
                 --attempt.leaf->condition.inFlight;
-                this->client.drop(attempt.call, absl::ZeroDuration());
+                this->client.drop(attempt.call);
             }
         }
     }
@@ -878,7 +690,7 @@
         if (late.open && !late.sent) {
             late.open = false;
             --late.leaf->condition.inFlight;
-            this->client.drop(late.call, absl::ZeroDuration());
+            this->client.drop(late.call);
         }
         if (this->askAnother(work, at)) {
             ++work->hedges;
@@ -1029,7 +841,7 @@
         }
         if (work->handedCall != 0) {
             --this->neighbours[work->handedTo].inFlight;
-            this->client.drop(std::exchange(work->handedCall, 0), absl::ZeroDuration());
+            this->client.drop(std::exchange(work->handedCall, 0));
         }
         this->works.erase(WorkKey(work->server, work->exchange));
         this->metrics.add(counter);
@@ -1084,22 +896,6 @@
     }
 }
 
-auto arrivalOf(const http::StreamMessage &message, const http::RequestOrigin &origin, bool fromNeighbour) -> Arrival
-{
-    // The caller's clock began with its connection: a new one takes a round trip more.
-    auto arrival = Arrival{.used = origin.roundTrip * (origin.firstOnConnection ? 2 : 1), .handedOn = fromNeighbour};
-    const auto *const field = fromNeighbour ? http::findHeader(message.headers, usedTimeHeader) : nullptr;
-    auto micros = std::int64_t{0};
-    if (field != nullptr && absl::SimpleAtoi(*field, &micros) && micros >= 0) {
-        arrival.used = origin.roundTrip + absl::Microseconds(micros);
-    }
-    const auto *const attempts = fromNeighbour ? http::findHeader(message.headers, usedAttemptsHeader) : nullptr;
-    if (attempts != nullptr && !absl::SimpleAtoi(*attempts, &arrival.attemptsUsed)) {
-        arrival.attemptsUsed = 0;
-    }
-    return arrival;
-}
-
 auto Gateway::use(std::shared_ptr<const Catalogue> catalogue) -> void
 {
     this->core->publish(std::move(catalogue));
--- /dev/null
+++ b/packages/gateway/src/impl/request_work.cpp
@@ -0,0 +1,63 @@
+#include "impl/request_work.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackspan::gateway::impl {
+
+namespace {
+
+/// Requests of an operation count half after this when it is asked which part of them can be served.
+constexpr auto demandHalfLife = absl::Seconds(5);
+/// What slow leafs a log line names, at most.
+constexpr auto namedLeafs = std::size_t{6};
+
+} // namespace
+
+auto demandOf(const OperationMemory &memory, absl::Time now) -> double
+{
+    return memory.demand == 0.0 ? 0.0 : memory.demand * std::exp2(-absl::FDivDuration(std::max(now - memory.demandAt, absl::ZeroDuration()), demandHalfLife));
+}
+
+auto sentCount(const Slot &slot) -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(slot.attempts, &Attempt::sent));
+}
+
+auto mayHaveRun(const Work &work) -> bool
+{
+    return work.askedElsewhere || (work.handedCall != 0 && work.handedAt.has_value()) || std::ranges::any_of(work.slots, [](const Slot &slot) {
+               return std::ranges::any_of(slot.attempts, [](const Attempt &attempt) {
+                   return attempt.sent && !attempt.refused;
+               });
+           });
+}
+
+auto hasOpenAttempt(const Slot &slot) -> bool
+{
+    return std::ranges::any_of(slot.attempts, &Attempt::open);
+}
+
+auto describeSlots(const Work &work) -> std::string
+{
+    auto text = std::string();
+    auto named = std::size_t{0};
+    for (const auto &slot : work.slots) {
+        if (slot.in && slot.attempts.size() == 1 && work.isGather()) {
+            continue;
+        }
+        if (++named > namedLeafs) {
+            absl::StrAppend(&text, " ...");
+            break;
+        }
+        absl::StrAppend(&text, text.empty() ? "" : " ", slot.service->name, slot.in ? "=in" : slot.failed ? "=failed" : "=open");
+        for (const auto &attempt : slot.attempts) {
+            absl::StrAppend(&text, ",", attempt.leaf->entry.id, attempt.sent ? "" : "(unsent)", attempt.open ? "(open)" : "");
+        }
+    }
+    return text;
+}
+
+} // namespace tamarackspan::gateway::impl
--- a/packages/http/include/tamarackspan/http/stream_client.h
+++ b/packages/http/include/tamarackspan/http/stream_client.h
@@ -94,9 +94,8 @@
     /// Sends a call on a free connection, or queues it until one is free.
     [[nodiscard]] auto call(Call call) -> CallId;
 
-    /// Gives up a call without calling its result. A call that was sent keeps its connection until its response has come or the time is over, after which the
-    /// connection is closed, so that the server stops work on it.
-    auto drop(CallId call, absl::Duration patience) -> void;
+    /// Gives up a call without calling its result. The connection of a call that was sent is closed, so that the server stops work on it.
+    auto drop(CallId call) -> void;
 
     /// Ends a pool: its idle connections close, its waiting calls end as NotSent, calls under way may finish.
     auto closePool(const std::string &pool) -> void;
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-/// How often idle, connecting and dropped connections are checked against their limits.
+/// How often idle and connecting connections are checked against their limits.
 constexpr auto sweepInterval = absl::Milliseconds(100);
 /// Bytes that are read at once; holds nearly every response whole.
 constexpr auto readSize = std::size_t{16} * 1024;
@@ -61,7 +61,6 @@
         CallId id = 0;
         Call call;
         bool dropped = false;
-        absl::Time dropAt = absl::InfiniteFuture();
         absl::Time expiresAt = absl::InfiniteFuture();
         SharedConnection connection{};
     };
@@ -407,8 +406,6 @@
                 expired.emplace_back(connection, "connection not established in time");
             } else if (connection->connected && connection->call == nullptr && now - connection->since > connection->idleLimit) {
                 expired.emplace_back(connection, "idle");
-            } else if (connection->call != nullptr && connection->call->dropped && now >= connection->call->dropAt) {
-                expired.emplace_back(connection, "given up");
             }
         }
         auto late = std::vector<SharedCall>();
@@ -464,7 +461,7 @@
     return id;
 }
 
-auto StreamClient::drop(CallId id, absl::Duration patience) -> void
+auto StreamClient::drop(CallId id) -> void
 {
     const auto found = this->core->calls.find(id);
     if (found == this->core->calls.end()) {
@@ -474,11 +471,7 @@
     call->dropped = true;
     this->core->calls.erase(found);
     if (call->connection != nullptr) {
-        if (patience <= absl::ZeroDuration()) {
-            this->core->close(call->connection, "given up");
-        } else {
-            call->dropAt = base::monotonicNow() + patience;
-        }
+        this->core->close(call->connection, "given up");
         return;
     }
     const auto pool = this->core->pools.find(call->call.pool);
--- a/packages/http/tests/stream_test.cpp
+++ b/packages/http/tests/stream_test.cpp
@@ -376,7 +376,7 @@
     const auto fd = this->accept();
     std::ignore = test::readMessage(fd);
     this->thread.run([this, id] {
-        this->client->drop(id, absl::Milliseconds(100));
+        this->client->drop(id);
     });
     EXPECT_EQ(test::readToEnd(fd), "");
     ::close(fd);
