Keep hosts behind a long cut in mind, so that both sides find each other again

Cause: the census forgot hosts 60 s after it had heard them last. After a longer cut both sides found each other through the seeds only, which may be gone; then each side took the limits that all hosts share for its own alone. Meanwhile the data centre behind the cut wasn't judged any more, and its hosts were ready again for what they couldn't serve.

Change: hosts are tried for an hour. What they share ends after 60 s, as before; a data centre is judged by the hosts that it had when it was heard last, so that hosts taken away earlier don't count.

Test: HostCensus.HostsBehindALongCutAreTriedAndJudgedButShareNothing fails with a memory of 60 s, passes.

--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -92,6 +92,8 @@
     /// A host counts among those that share a limit for so long after it was heard last: longer than partitions and restarts usually last, so that a share
     /// never grows on behalf of hosts that may still use theirs.
     absl::Duration sharesFor = absl::Seconds(60);
+    /// A host is tried for so long after it was heard last: a data centre may be cut off for an hour, and both sides find each other again without seeds.
+    absl::Duration forgottenAfter = absl::Hours(1);
     /// How long another host's count of hosts is believed: until the next report from a seed.
     absl::Duration claimFor = absl::Seconds(20);
     /// After a start the count of hosts isn't trusted for so long.
@@ -127,7 +129,7 @@
     /// Returns the other hosts that are alive.
     [[nodiscard]] auto alive(absl::Time now) const -> std::vector<HostRecord>;
 
-    /// Returns the other hosts that share limits but aren't alive: partitioned, stopped or gone.
+    /// Returns the other hosts that aren't alive and aren't forgotten: partitioned, stopped or gone.
     [[nodiscard]] auto silent(absl::Time now) const -> std::vector<HostRecord>;
 
     /// Returns how many hosts, this one included, share the limits that hold over all hosts.
@@ -146,11 +148,11 @@
     /// Returns the reports of one round: to seeds, to a host that fell silent, to a few of the own data centre and one elsewhere.
     [[nodiscard]] auto planReports(const ReportTerms &terms, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>;
 
-    /// Returns reports that ask for a reply, to up to `count` other hosts of a data centre, whether they are alive or not.
+    /// Returns reports that ask for a reply, to up to `count` other hosts that a data centre had when it was heard last, whether they are alive or not.
     [[nodiscard]] auto planProbes(std::string_view dataCentre, std::size_t count, base::Random &random) const -> std::vector<PlannedReport>;
 
-    /// Returns how many of the hosts that share limits, this one included, each data centre has.
-    [[nodiscard]] auto hostsByDataCentre(absl::Time now) const -> std::map<std::string, std::size_t, std::less<>>;
+    /// Returns how many hosts, this one included, each data centre had when it was heard last.
+    [[nodiscard]] auto hostsByDataCentre() const -> std::map<std::string, std::size_t, std::less<>>;
 
     /// Returns how long after a round the next one follows. Answers the load pattern of all hosts starting at once, which know nobody while callers return.
     [[nodiscard]] auto nextRoundAfter(const ReportTerms &terms, absl::Time now) const -> absl::Duration;
@@ -170,7 +172,12 @@
     /// Returns up to `count` records to pass on: this host's, the strongest of a data centre if one is named, half of the rest those heard last, the others
     /// drawn at random.
     [[nodiscard]] auto recordsToPassOn(std::size_t count, const std::string &dataCentre, base::Random &random, absl::Time now) const -> std::vector<HostRecord>;
-    [[nodiscard]] auto aliveSpan() const -> absl::Duration;
+    /// Returns the hosts, this one included, that each data centre had when it was heard last: those of a data centre that is cut off, but none that left
+    /// before.
+    [[nodiscard]] auto lastKnown() const -> std::vector<const HostRecord *>;
+    /// Returns how many of the known hosts, this one included, share limits.
+    [[nodiscard]] auto countSharers(absl::Time now) const -> std::size_t;
+    [[nodiscard]] auto aliveSpan(absl::Time now) const -> absl::Duration;
     [[nodiscard]] auto within(absl::Duration span, absl::Time now) const -> std::vector<const HostRecord *>;
 
     std::string ownName;
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -75,9 +75,9 @@
 auto HostCensus::planProbes(std::string_view dataCentre, std::size_t count, base::Random &random) const -> std::vector<PlannedReport>
 {
     auto hosts = std::vector<HostRecord>();
-    for (const auto &[name, host] : this->hosts) {
-        if (name != this->ownName && host.record.dataCentre == dataCentre) {
-            hosts.push_back(host.record);
+    for (const auto *const record : this->lastKnown()) {
+        if (record->name != this->ownName && record->dataCentre == dataCentre) {
+            hosts.push_back(*record);
         }
     }
     auto planned = std::vector<PlannedReport>();
@@ -85,10 +85,26 @@
     return planned;
 }
 
-auto HostCensus::hostsByDataCentre(absl::Time now) const -> std::map<std::string, std::size_t, std::less<>>
+auto HostCensus::lastKnown() const -> std::vector<const HostRecord *>
+{
+    auto latest = std::map<std::string_view, absl::Time>();
+    for (const auto &[name, host] : this->hosts) {
+        auto &heardAt = latest.try_emplace(host.record.dataCentre, absl::InfinitePast()).first->second;
+        heardAt = std::max(heardAt, host.heardAt);
+    }
+    auto found = std::vector<const HostRecord *>();
+    for (const auto &[name, host] : this->hosts) {
+        if (latest[host.record.dataCentre] - host.heardAt <= this->terms.sharesFor) {
+            found.push_back(&host.record);
+        }
+    }
+    return found;
+}
+
+auto HostCensus::hostsByDataCentre() const -> std::map<std::string, std::size_t, std::less<>>
 {
     auto counts = std::map<std::string, std::size_t, std::less<>>();
-    for (const auto *const record : this->within(this->terms.sharesFor, now)) {
+    for (const auto *const record : this->lastKnown()) {
         ++counts[record->dataCentre];
     }
     return counts;
@@ -127,7 +143,7 @@
 
 auto HostCensus::makeReport(std::size_t count, bool wantsReply, base::Random &random, absl::Time now) const -> HostReport
 {
-    return {.records = this->recordsToPassOn(count, {}, random, now), .known = this->hosts.size(), .wantsReply = wantsReply};
+    return {.records = this->recordsToPassOn(count, {}, random, now), .known = this->countSharers(now), .wantsReply = wantsReply};
 }
 
 auto HostCensus::makeReply(const HostRecord &asker, std::size_t count, base::Random &random, absl::Time now) const -> HostReport
@@ -136,7 +152,7 @@
     if (this->holdsEarlierStart(asker)) {
         records.push_back(this->hosts.at(asker.name).record);
     }
-    return {.records = std::move(records), .known = this->hosts.size()};
+    return {.records = std::move(records), .known = this->countSharers(now)};
 }
 
 auto HostCensus::holdsEarlierStart(const HostRecord &sender) const -> bool
@@ -170,7 +186,7 @@
     ++own.record.sequence;
     own.heardAt = now;
     std::erase_if(this->hosts, [this, now](const auto &entry) {
-        return now - entry.second.heardAt > this->terms.sharesFor;
+        return now - entry.second.heardAt > this->terms.forgottenAfter;
     });
     return own.record;
 }
@@ -185,9 +201,16 @@
     return this->hosts.at(this->ownName).record;
 }
 
-auto HostCensus::aliveSpan() const -> absl::Duration
+auto HostCensus::countSharers(absl::Time now) const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->hosts, [this, now](const auto &entry) {
+        return entry.first == this->ownName || now - entry.second.heardAt <= this->terms.sharesFor;
+    }));
+}
+
+auto HostCensus::aliveSpan(absl::Time now) const -> absl::Duration
 {
-    const auto rounds = static_cast<double>(this->hosts.size()) / static_cast<double>(std::max<std::size_t>(this->terms.roundedHosts, 1));
+    const auto rounds = static_cast<double>(this->countSharers(now)) / static_cast<double>(std::max<std::size_t>(this->terms.roundedHosts, 1));
     return this->terms.aliveFor * std::max(rounds, 1.0);
 }
 
@@ -205,7 +228,7 @@
 auto HostCensus::alive(absl::Time now) const -> std::vector<HostRecord>
 {
     auto found = std::vector<HostRecord>();
-    for (const auto *const record : this->within(this->aliveSpan(), now)) {
+    for (const auto *const record : this->within(this->aliveSpan(now), now)) {
         if (record->name != this->ownName) {
             found.push_back(*record);
         }
@@ -216,8 +239,9 @@
 auto HostCensus::silent(absl::Time now) const -> std::vector<HostRecord>
 {
     auto found = std::vector<HostRecord>();
+    const auto span = this->aliveSpan(now);
     for (const auto &[name, host] : this->hosts) {
-        if (name != this->ownName && now - host.heardAt > this->aliveSpan()) {
+        if (name != this->ownName && now - host.heardAt > span) {
             found.push_back(host.record);
         }
     }
@@ -227,7 +251,7 @@
 auto HostCensus::sharers(absl::Time now) const -> std::size_t
 {
     const auto claim = now - this->claimedAt <= this->terms.claimFor ? this->claimed : 0;
-    const auto known = std::max(this->within(this->terms.sharesFor, now).size(), claim);
+    const auto known = std::max(this->countSharers(now), claim);
     return now - this->startedAt < this->terms.settleFor ? std::max(known, this->terms.assumedHosts) : known;
 }
 
@@ -264,8 +288,9 @@
 auto HostCensus::recordsToPassOn(std::size_t count, const std::string &dataCentre, base::Random &random, absl::Time now) const -> std::vector<HostRecord>
 {
     auto others = std::vector<const KnownHost *>();
+    const auto span = this->aliveSpan(now);
     for (const auto &[name, host] : this->hosts) {
-        if (name != this->ownName && now - host.heardAt <= this->aliveSpan()) {
+        if (name != this->ownName && now - host.heardAt <= span) {
             others.push_back(&host);
         }
     }
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -84,6 +85,25 @@
     EXPECT_FALSE(other.holdsEarlierStart(restarted.self()));
 }
 
+// A data centre is cut off for longer than limits are shared with it, and no seed is alive when the cut ends.
+TEST(HostCensus, HostsBehindALongCutAreTriedAndJudgedButShareNothing)
+{
+    auto random = base::Random(1);
+    auto census = HostCensus(record("1"), {}, start);
+    census.note(record("gone", 120, "b"), start - absl::Minutes(5));
+    census.note(record("2", 120, "b"), start);
+    census.note(record("3", 120, "b"), start);
+    const auto later = start + absl::Minutes(10);
+    census.advance(later);
+    EXPECT_EQ(census.sharers(later), 1);
+    EXPECT_EQ(census.makeReport(10, false, random, later).known, 1);
+    EXPECT_EQ(census.hostsByDataCentre(), (std::map<std::string, std::size_t, std::less<>>{{"a", 1}, {"b", 2}}));
+    EXPECT_EQ(census.planProbes("b", 5, random).size(), 2);
+    EXPECT_EQ(census.planReports({}, random, later).size(), 1);
+    census.advance(start + absl::Hours(2));
+    EXPECT_TRUE(census.planReports({}, random, start + absl::Hours(2)).empty());
+}
+
 TEST(HostCensus, AnImpossibleStartOfItsOwnIsIgnored)
 {
     auto census = HostCensus(record("1"), {}, start);
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -245,7 +245,7 @@
         if (nothingSilent && this->cutOffDataCentres.empty()) {
             return;
         }
-        const auto hosts = this->census.hostsByDataCentre(now);
+        const auto hosts = this->census.hostsByDataCentre();
         const auto selfIn = [this](std::string_view dataCentre) {
             return dataCentre == this->settings.gateway.dataCentre ? std::size_t{1} : std::size_t{0};
         };
