Leave callers to other data centres only while hosts there may still be alive

With hosts behind a long cut kept in mind, a host that stepped down would have stayed unready for an hour, also when the others are lost for good. Hosts count for that decision for a minute, as before; the leafs behind the cut stay judged, so that what they would have to serve is refused at once.

--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -52,6 +52,9 @@
     friend auto operator==(const KnownHost &, const KnownHost &) -> bool = default;
 };
 
+/// Numbers of hosts by data centre.
+using HostCounts = std::map<std::string, std::size_t, std::less<>>;
+
 /// Whom a host tells about hosts, and how often.
 struct ReportTerms
 {
@@ -151,8 +154,11 @@
     /// Returns reports that ask for a reply, to up to `count` other hosts that a data centre had when it was heard last, whether they are alive or not.
     [[nodiscard]] auto planProbes(std::string_view dataCentre, std::size_t count, base::Random &random) const -> std::vector<PlannedReport>;
 
-    /// Returns how many hosts, this one included, each data centre had when it was heard last.
-    [[nodiscard]] auto hostsByDataCentre() const -> std::map<std::string, std::size_t, std::less<>>;
+    /// Returns how many of the hosts that share limits, this one included, each data centre has.
+    [[nodiscard]] auto hostsByDataCentre(absl::Time now) const -> HostCounts;
+
+    /// Returns how many hosts, this one included, each data centre had when it was heard last, up to an hour ago.
+    [[nodiscard]] auto lastHostsByDataCentre() const -> HostCounts;
 
     /// Returns how long after a round the next one follows. Answers the load pattern of all hosts starting at once, which know nobody while callers return.
     [[nodiscard]] auto nextRoundAfter(const ReportTerms &terms, absl::Time now) const -> absl::Duration;
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+auto countByDataCentre(const std::vector<const HostRecord *> &records) -> HostCounts
+{
+    auto counts = HostCounts();
+    for (const auto *const record : records) {
+        ++counts[record->dataCentre];
+    }
+    return counts;
+}
+
 } // namespace
 
 auto HostCensus::planProbes(std::string_view dataCentre, std::size_t count, base::Random &random) const -> std::vector<PlannedReport>
@@ -101,13 +110,14 @@
     return found;
 }
 
-auto HostCensus::hostsByDataCentre() const -> std::map<std::string, std::size_t, std::less<>>
+auto HostCensus::hostsByDataCentre(absl::Time now) const -> HostCounts
 {
-    auto counts = std::map<std::string, std::size_t, std::less<>>();
-    for (const auto *const record : this->lastKnown()) {
-        ++counts[record->dataCentre];
-    }
-    return counts;
+    return countByDataCentre(this->within(this->terms.sharesFor, now));
+}
+
+auto HostCensus::lastHostsByDataCentre() const -> HostCounts
+{
+    return countByDataCentre(this->lastKnown());
 }
 
 auto HostCensus::planReports(const ReportTerms &terms, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 
 #include <limits>
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -97,7 +96,8 @@
     census.advance(later);
     EXPECT_EQ(census.sharers(later), 1);
     EXPECT_EQ(census.makeReport(10, false, random, later).known, 1);
-    EXPECT_EQ(census.hostsByDataCentre(), (std::map<std::string, std::size_t, std::less<>>{{"a", 1}, {"b", 2}}));
+    EXPECT_EQ(census.hostsByDataCentre(later), (HostCounts{{"a", 1}}));
+    EXPECT_EQ(census.lastHostsByDataCentre(), (HostCounts{{"a", 1}, {"b", 2}}));
     EXPECT_EQ(census.planProbes("b", 5, random).size(), 2);
     EXPECT_EQ(census.planReports({}, random, later).size(), 1);
     census.advance(start + absl::Hours(2));
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -245,15 +245,15 @@
         if (nothingSilent && this->cutOffDataCentres.empty()) {
             return;
         }
-        const auto hosts = this->census.hostsByDataCentre();
+        const auto lastHosts = this->census.lastHostsByDataCentre();
         const auto selfIn = [this](std::string_view dataCentre) {
             return dataCentre == this->settings.gateway.dataCentre ? std::size_t{1} : std::size_t{0};
         };
         auto cutOff = std::set<std::string, std::less<>>();
         for (auto &[dataCentre, reached] : this->reach) {
-            const auto known = hosts.find(dataCentre);
+            const auto known = lastHosts.find(dataCentre);
             // Without other hosts there that could reply, a data centre isn't judged.
-            const auto step = known != hosts.end() && known->second > selfIn(dataCentre) ? advanceReach(reached, ReachTerms(), now) : ReachStep();
+            const auto step = known != lastHosts.end() && known->second > selfIn(dataCentre) ? advanceReach(reached, ReachTerms(), now) : ReachStep();
             reached = step.next;
             if (step.probe) {
                 this->censusLink.probe(dataCentre);
@@ -264,7 +264,8 @@
         }
         this->noteCuts(cutOff);
         auto view = StepDownView{.hostsInReach = 0, .allHosts = 0, .servable = cutOff.empty() ? 1.0 : this->gateway.servable()};
-        for (const auto &[dataCentre, count] : hosts) {
+        // Hosts that have been out of reach for long may be lost: callers aren't left to them.
+        for (const auto &[dataCentre, count] : this->census.hostsByDataCentre(now)) {
             view.allHosts += count;
             view.hostsInReach += cutOff.contains(dataCentre) ? selfIn(dataCentre) : count;
         }
