Turn nobody away by a latency that is only assumed

Cause: host_process_test failed once (AWeakHostHandsQueriesToAStrongerOne, 8 of 20 refused, load 3 on 6 cores). A host that had handed on all its queries lost its stronger neighbour and gathered 20 queries of one moment itself. It had never seen a leaf answer, took the assumed 45 ms for each of them in turn, and refused as 'leafs have more to do than they can in time' what they serve in 5 ms.

Ruled out: the changes to the census before (the other host's loss was seen at once: 'connection refused' in the log).

Change: what is assumed is no reason to refuse; the first answers move the median by more, so that it is near the truth after ten.

Test: LatencyEstimate.TheFirstAnswersCarryAnAssumptionNearTheTruth.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -487,9 +487,11 @@
         auto queue = LeafQueue{.connections = this->connectionShare(work.connections[at], work)};
         if (leaf != nullptr) {
             queue.waiting = this->client.waiting(leaf->pool);
-            const auto slowness = std::max(leaf->condition.slowness, 1.0);
-            queue.service = work.resolved->memory->estimate.median * slowness;
-            queue.slow = work.isGather() ? work.resolved->memory->estimate.slow * slowness : queue.service;
+            // What is only assumed is no reason to turn a request away: a host that has handed all its queries on would refuse those of the first moment.
+            const auto &estimate = work.resolved->memory->estimate;
+            const auto slowness = estimate.answers > 0 ? std::max(leaf->condition.slowness, 1.0) : 0.0;
+            queue.service = estimate.median * slowness;
+            queue.slow = work.isGather() ? estimate.slow * slowness : queue.service;
         }
         return queue;
     }
--- a/packages/gateway/src/latency_estimate.cpp
+++ b/packages/gateway/src/latency_estimate.cpp
@@ -11,6 +11,8 @@
 constexpr auto initialSlow = 0.35;
 /// The part by which the median moves with one answer: about 30 answers carry it across a change by half.
 constexpr auto medianStep = 0.03;
+/// Answers beyond these change nothing in the step: from here on it is medianStep.
+constexpr auto countedAnswers = static_cast<std::uint32_t>(1.0 / medianStep);
 /// The slow end moves up by this part with each answer above it, and down by a nineteenth of that with each below, so that it stands still at 95 in 100.
 constexpr auto slowStep = 0.06;
 constexpr auto slowQuantile = 0.95;
@@ -26,7 +28,9 @@
 
 auto observed(LatencyEstimate estimate, absl::Duration latency) -> LatencyEstimate
 {
-    estimate.median *= latency > estimate.median ? 1.0 + medianStep : 1.0 - medianStep;
+    const auto step = std::max(medianStep, 1.0 / static_cast<double>(estimate.answers + 2));
+    estimate.median *= latency > estimate.median ? 1.0 + step : 1.0 - step;
+    estimate.answers = std::min(estimate.answers + 1, countedAnswers);
     estimate.slow *= latency > estimate.slow ? 1.0 + slowStep : 1.0 - slowStep * (1.0 - slowQuantile) / slowQuantile;
     estimate.median = std::max(estimate.median, least);
     estimate.slow = std::max(estimate.slow, estimate.median);
--- a/packages/gateway/tests/policies_test.cpp
+++ b/packages/gateway/tests/policies_test.cpp
@@ -113,6 +113,17 @@
     EXPECT_NEAR(absl::ToDoubleMilliseconds(estimate.slow), 29.0, 3.0);
 }
 
+TEST(LatencyEstimate, TheFirstAnswersCarryAnAssumptionNearTheTruth)
+{
+    auto estimate = initialEstimate(absl::Milliseconds(300));
+    EXPECT_EQ(estimate.answers, 0);
+    for (auto count = 0; count < 12; ++count) {
+        estimate = observed(estimate, absl::Milliseconds(5));
+    }
+    EXPECT_LT(estimate.median, absl::Milliseconds(8));
+    EXPECT_EQ(estimate.answers, 12);
+}
+
 TEST(WeightedChoice, EachPartGetsItsWeight)
 {
     auto turns = WeightedTurns();
