Remove the setting host.roles, which had no effect

Cause: the setting was checked, but a host took callers' requests and owned leafs whatever it said. Which host owns a leaf follows from the published host list, so that a host can't decline its part by a setting of its own. A settings file that names it is refused as having an unknown key now, instead of being obeyed in appearance.

OwnAnswerTest.LateRepliesBetweenHostsCrossNothing ran with three owners all along; it is as strict as before and says so. The checks of bad values of the setting are replaced by the one that it is unknown.

--- a/packages/configuration/include/tamarackspan/configuration/host_settings.h
+++ b/packages/configuration/include/tamarackspan/configuration/host_settings.h
@@ -37,8 +37,6 @@
     std::string callerAddress;
     /// Where operators read status, metrics, costs and the audit trail.
     std::string adminAddress;
-    bool isEntry = true;
-    bool isLeafOwner = true;
     std::uint32_t trafficThreads = 2;
 
     friend auto operator==(const HostIdentity &, const HostIdentity &) -> bool = default;
--- a/packages/configuration/src/host_settings.cpp
+++ b/packages/configuration/src/host_settings.cpp
@@ -21,28 +21,6 @@
 constexpr std::size_t maxFilePathBytes = 4096;
 constexpr contracts::NumberRange durationMsRange{1, 3'600'000};
 
-auto readRoles(TableReader &reader, HostIdentity &host) -> void
-{
-    const auto *elements = reader.array("roles", false);
-    if (elements == nullptr) {
-        return;
-    }
-    auto roles = std::set<std::string>{};
-    for (const auto &element : *elements) {
-        const auto *text = std::get_if<std::string>(&element.content);
-        if (text == nullptr || (*text != "entry" && *text != "leaf-owner")) {
-            reader.fail(element, "roles", absl::StrCat("expected \"entry\" or \"leaf-owner\", found ", contracts::describe(element)));
-        } else if (!roles.insert(*text).second) {
-            reader.fail(element, "roles", absl::StrCat("expected each role once, found ", contracts::describe(element), " again"));
-        }
-    }
-    if (elements->empty()) {
-        reader.failKey("roles", "expected at least one role, found none");
-    }
-    host.isEntry = roles.contains("entry");
-    host.isLeafOwner = roles.contains("leaf-owner");
-}
-
 auto readHost(TableReader &reader) -> HostIdentity
 {
     auto host = HostIdentity{};
@@ -57,7 +35,6 @@
             reader.failKey(key, absl::StrCat("expected an address of its own, found \"", address, "\" again"));
         }
     }
-    readRoles(reader, host);
     host.trafficThreads = static_cast<std::uint32_t>(reader.number("traffic_threads", {1, maxTrafficThreads}, host.trafficThreads));
     reader.rejectUnknownKeys();
     return host;
--- a/packages/configuration/tests/host_settings_test.cpp
+++ b/packages/configuration/tests/host_settings_test.cpp
@@ -34,21 +34,18 @@
     ASSERT_TRUE(result.ok());
     EXPECT_EQ(result.value().timing, Timing{});
     EXPECT_EQ(result.value().timing.ticketLife, absl::Seconds(10));
-    EXPECT_TRUE(result.value().host.isEntry);
-    EXPECT_TRUE(result.value().host.isLeafOwner);
     EXPECT_EQ(result.value().log, LogSettings{});
 }
 
 TEST(HostSettings, OverridesReplaceKeysUnderTheSameChecks)
 {
-    const auto result = parseSettings(settingsText, "s.toml",
-                                      {"host.inner_address=127.0.0.1:7999", "timing.lease_ms=5000", "timing.ticket_life_ms=2500", "host.roles=[\"entry\"]",
-                                       "log.format=json", "audit.file=/tmp/a b"});
+    const auto result =
+        parseSettings(settingsText, "s.toml",
+                      {"host.inner_address=127.0.0.1:7999", "timing.lease_ms=5000", "timing.ticket_life_ms=2500", "log.format=json", "audit.file=/tmp/a b"});
     ASSERT_TRUE(result.ok());
     EXPECT_EQ(result.value().host.innerAddress.get(), "127.0.0.1:7999");
     EXPECT_EQ(result.value().timing.lease, absl::Seconds(5));
     EXPECT_EQ(result.value().timing.ticketLife, absl::Milliseconds(2500));
-    EXPECT_FALSE(result.value().host.isLeafOwner);
     EXPECT_EQ(result.value().log.format, LogFormat::Json);
     EXPECT_EQ(result.value().auditFile, "/tmp/a b");
     EXPECT_EQ(report(settingsText, {"host.inner_address=localhost:1", "lease=3", "timing.leese_ms=3"}),
@@ -65,9 +62,7 @@
     for (const auto &override : std::vector<std::string>{
              "host.data_centre=",
              "host.caller_address=127.0.0.1:7101",
-             "host.roles=[]",
-             "host.roles=[\"entry\", \"entry\"]",
-             "host.roles=[\"owner\"]",
+             "host.roles=[\"entry\"]",
              "host.traffic_threads=0",
              "host.traffic_threads=many",
              "platform.addresses=[\"::1:80\"]",
--- a/packages/testkit/include/tamarackspan/testkit/fleet.h
+++ b/packages/testkit/include/tamarackspan/testkit/fleet.h
@@ -30,7 +30,6 @@
 struct HostOptions
 {
     std::string dataCentre = "a";
-    std::vector<std::string> roles = {"entry", "leaf-owner"};
     std::uint32_t trafficThreads = 1;
     /// Addresses of the platform; the platform stand-in's if not set.
     std::optional<std::vector<std::string>> platform;
--- a/packages/testkit/src/fleet.cpp
+++ b/packages/testkit/src/fleet.cpp
@@ -220,8 +220,7 @@
     }
     const auto &options = host.options;
     return absl::StrCat("[host]\ndata_centre = ", Json(options.dataCentre).dump(), "\ninner_address = \"", host.addresses.inner, "\"\ncaller_address = \"",
-                        host.addresses.caller, "\"\nadmin_address = \"", host.addresses.admin, "\"\nroles = ", quoted(options.roles),
-                        "\ntraffic_threads = ", options.trafficThreads,
+                        host.addresses.caller, "\"\nadmin_address = \"", host.addresses.admin, "\"\ntraffic_threads = ", options.trafficThreads,
                         "\n\n[platform]\naddresses = ", quoted(options.platform.value_or(std::vector{this->platformListens})),
                         "\n\n[peers]\naddresses = ", quoted(options.peers.value_or(peers)), "\n\n[timing]\n", absl::StrJoin(options.timing, "\n"),
                         "\n\n[log]\nlevel = \"info\"\nformat = \"text\"\nfile = \"", host.name, ".log\"\n\n[audit]\nfile = \"", host.name, ".audit\"\n");
--- a/tests/answers/own_answer_test.cpp
+++ b/tests/answers/own_answer_test.cpp
@@ -75,12 +75,11 @@
     EXPECT_FALSE(deployment.answersOf(options.caller).empty());
 }
 
-/// One host only takes in requests, two own the leafs. Those are paused again and again past the callers' deadlines, so that their replies come late.
+/// One host takes in the requests. The two others, which own two thirds of the leafs, are paused again and again past the callers' deadlines, so that their
+/// replies come late.
 TEST(OwnAnswerTest, LateRepliesBetweenHostsCrossNothing)
 {
-    auto deployment = Deployment(3, Json::object(), [](testkit::HostOptions &options, std::size_t host) {
-        options.roles = host == 0 ? std::vector<std::string>{"entry"} : std::vector<std::string>{"leaf-owner"};
-    });
+    auto deployment = Deployment(3, Json::object());
     deployment.start();
     auto options = deployment.load("labelled", {0}, 4305);
     options.deadline = absl::Milliseconds(100);
