--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -230,6 +230,10 @@
 
     auto onHostHeard(const census::HostRecord &host) -> void
     {
+        const auto start = this->census.self().incarnation;
+        if (const auto before = std::exchange(this->toldStart, start); before != start) {
+            this->log.warning("others took an earlier start of this host for newer: the clock was set back", {{"start", start}, {"before", before}});
+        }
         if (const auto reached = this->reach.find(host.dataCentre); reached != this->reach.end()) {
             reached->second = DataCentreReach();
         }
@@ -406,6 +410,8 @@
     std::uint64_t stamp;
     bool stopping = false;
     bool saidReady = false;
+    /// This host's start as it was told to others last.
+    std::uint64_t toldStart = this->census.self().incarnation;
     absl::Time stopBegan = absl::InfinitePast();
 };
 
