--- a/review/stand_in/kit.h
+++ b/review/stand_in/kit.h
@@ -384,7 +384,7 @@
 public:
     Store()
         : server("127.0.0.1", [this](Connection &connection) {
-              this->serve(connection);
+              this->serve(connection, true);
           })
     {
     }
@@ -396,6 +396,7 @@
         }
         this->changed.notify_all();
         this->server.stop();
+        this->second.reset();
     }
 
     /// Writes a value, or removes the key; returns once the store has accepted the change.
@@ -408,6 +409,23 @@
         this->changed.notify_all();
     }
 
+    /// Answers at one more address, and returns it.
+    auto addAddress() -> std::string
+    {
+        this->second = std::make_unique<Server>("127.0.0.1", [this](Connection &connection) {
+            this->serve(connection, false);
+        });
+        return this->second->ip + ":" + std::to_string(this->second->port);
+    }
+
+    /// Stops answering at the first address.
+    auto closeFirstAddress() -> void
+    {
+        this->firstClosed = true;
+        this->changed.notify_all();
+        this->server.stop();
+    }
+
     /// From now on nothing comes back on the connections that are open; new ones work.
     auto silenceOpenConnections() -> void
     {
@@ -504,7 +522,7 @@
         return text;
     }
 
-    auto answer(const std::string &target) -> std::pair<int, std::string>
+    auto answer(const std::string &target, bool atFirst) -> std::pair<int, std::string>
     {
         auto lock = std::unique_lock(this->mutex);
         const auto stale = argument(target, "stale_ok") == "1";
@@ -534,7 +552,7 @@
         const auto until = Clock::now() + std::chrono::milliseconds(std::atoi(argument(target, "wait_ms").c_str()));
         auto seen = this->seenRevision(stale);
         auto text = this->eventsJson(after, seen, prefix);
-        while (text.empty() && !this->ending && Clock::now() < until) {
+        while (text.empty() && !this->ending && !(atFirst && this->firstClosed) && Clock::now() < until) {
             this->changed.wait_until(lock, until);
             seen = this->seenRevision(stale);
             text = this->eventsJson(after, seen, prefix);
@@ -542,12 +560,15 @@
         return {200, R"({"events":[)" + text + R"(],"as_of":)" + std::to_string(seen) + "}"};
     }
 
-    auto serve(Connection &connection) -> void
+    auto serve(Connection &connection, bool atFirst) -> void
     {
         const auto opened = this->silenced.load();
         auto request = Message();
         while (connection.read(request, 3600.0)) {
-            const auto [status, body] = this->answer(request.target);
+            const auto [status, body] = this->answer(request.target, atFirst);
+            if (atFirst && this->firstClosed) {
+                return;
+            }
             if (opened != this->silenced) {
                 continue;
             }
@@ -559,11 +580,13 @@
     }
 
     std::atomic<int> silenced = 0;
+    std::atomic<bool> firstClosed = false;
     std::mutex mutex;
     std::condition_variable changed;
     std::deque<Event> events;
     std::uint64_t revision = 100;
     bool ending = false;
+    std::unique_ptr<Server> second;
     Server server;
 };
 
@@ -756,7 +779,7 @@
 /// What differs between hosts, and the bounds of the deployment.
 struct HostOptions
 {
-    std::string zone = "imereti-a";
+    std::string zone = "pnw-seattle";
     double cpuShare = 0.25;
     int memoryMb = 260;
     std::string store;
@@ -774,29 +797,36 @@
           ports(ports),
           name("front-" + std::to_string(number))
     {
-        auto file = std::ofstream(this->settings());
+        this->writeSettings(options);
+        this->start();
+    }
+    ~Host()
+    {
+        this->kill(SIGKILL);
+        this->wait(5.0);
+    }
+
+    /// Places the settings file at its location, as the platform does whenever the settings change.
+    auto writeSettings(const HostOptions &options) -> void
+    {
+        auto file = std::ofstream(this->settings() + ".new");
         auto seeds = std::string();
         for (auto seed = 1; seed <= options.seeds; ++seed) {
-            seeds += (seeds.empty() ? "\"" : ",\"") + std::string("127.0.1.") + std::to_string(seed) + ":" + std::to_string(ports.first + 22) + "\"";
+            seeds += (seeds.empty() ? "\"" : ",\"") + std::string("127.0.1.") + std::to_string(seed) + ":" + std::to_string(this->ports.first + 22) + "\"";
         }
         file << "node_name = \"" << this->name << "\"\nrole = \"host\"\nmachine_class = \"front\"\nserves = [\"front\",\"control\"]\nip = \"" << this->ip
-             << "\"\nzone = \"" << options.zone << "\"\nregion = \"imereti\"\ninternal_ports = [" << ports.first << "," << ports.first + 15 << "]\nseeds = ["
+             << "\"\nzone = \"" << options.zone << "\"\nregion = \"pnw\"\ninternal_ports = [" << this->ports.first << "," << this->ports.first + 15 << "]\nseeds = ["
              << seeds << "]\nbootstrap = true\ncounts_as_loss = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1200\n"
              << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"scatter\",\"platform\"]\n[zones]\n" << options.zone
-             << " = \"imereti\"\n[listen]\nfront = \"" << this->ip << ":" << ports.front() << "\"\nready_addr = \"" << this->ip << ":" << ports.ready()
-             << "\"\ncontrol = \"" << this->ip << ":" << ports.first + 22 << "\"\n[limits]\ncpu_share = " << options.cpuShare
+             << " = \"pnw\"\n[listen]\nfront = \"" << this->ip << ":" << this->ports.front() << "\"\nready_addr = \"" << this->ip << ":" << this->ports.ready()
+             << "\"\ncontrol = \"" << this->ip << ":" << this->ports.first + 22 << "\"\n[limits]\ncpu_share = " << options.cpuShare
              << "\ncores = 1\nmemory_mb = " << options.memoryMb << "\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n"
              << "[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\nseed_lag_s = 3\naddr_reuse_s = 2\ncontact_ms = 4000\nack_ms = 5000\n"
              << "catch_up_s = 4\ndrain_ms = 3000\ngrace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = 3000\nback_ms = 250\nmax_skew_ms = 12000\n"
-             << "retry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 56\nrecovery_s = 12\n[platform]\naddress = \"" << options.store
+             << "retry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 52\nrecovery_s = 12\n[platform]\naddress = \"" << options.store
              << "\"\nform = \"read\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\nmin_ttl_ms = 1000\n";
         file.close();
-        this->start();
-    }
-    ~Host()
-    {
-        this->kill(SIGKILL);
-        this->wait(5.0);
+        std::filesystem::rename(this->settings() + ".new", this->settings());
     }
 
     auto start() -> void
--- a/review/stand_in/late_bytes.cpp
+++ b/review/stand_in/late_bytes.cpp
@@ -63,8 +63,8 @@
             owesBytes = faulty && ++faultyAnswers % oneIn == 0;
         }
     };
-    auto a = Leaf(store, "i-a", "booking", "imereti-a", 4, handler);
-    auto b = Leaf(store, "i-b", "booking", "imereti-a", 4, handler);
+    auto a = Leaf(store, "i-a", "booking", "pnw-seattle", 4, handler);
+    auto b = Leaf(store, "i-b", "booking", "pnw-seattle", 4, handler);
     store.write("op/config", configuration(3, {{.prefix = "/book/", .idempotent = false, .service = "booking", .timeoutMs = 15000, .aimMs = 800}}));
     const auto ports = freePorts(1);
     auto host = Host(run.root, run.temporary, 1, ports, {.store = store.address()});
--- a/review/stand_in/late_drain.cpp
+++ b/review/stand_in/late_drain.cpp
@@ -62,7 +62,7 @@
         }
     };
     const auto makeLeaf = [&](int number) {
-        return std::make_unique<Leaf>(store, "i-" + std::to_string(number), "booking", "imereti-a", 3, handler);
+        return std::make_unique<Leaf>(store, "i-" + std::to_string(number), "booking", "pnw-seattle", 3, handler);
     };
     auto leafs = std::deque<std::unique_ptr<Leaf>>();
     for (auto number = 1; number <= 3; ++number) {
