Review: the stand-in of each case lies in its folder

Cause: review/stand_in and review/build are no case folders.

Nothing else in the stand-ins is changed.

--- a/review/stand_in/late_drain.cpp
+++ b/review/2/late_drain.cpp
@@ -1,6 +1,6 @@
 // A leaf drains as planned while the store's cheap reads are seconds old. Nobody asks for a while; the next bookings still go to it, and are cut as it leaves.
 
-#include "kit.h"
+#include "../kit.h"
 
 using namespace kit;
 
--- a/review/stand_in/silent_watch.cpp
+++ b/review/5/silent_watch.cpp
@@ -1,6 +1,6 @@
 // The connections to the store go silent for good, and new ones work. Long after that the operator moves a route to another service.
 
-#include "kit.h"
+#include "../kit.h"
 
 using namespace kit;
 
