Store follower: what a host knows of the store has a bounded age

Cause: leafs, and the configuration on its second way, came from cheap reads only. These may be seconds old and don't say so. The read that waits for the next configuration can't tell a silent connection from no news. Ruled out: the interval of the reads (with current replies both rules hold), and other connections (they time out after 1.5 s).

Change: each reply names the store's revision, so one current read, by any host, tells every host how old its own state is at most.

--- a/packages/census/include/tamarackspan/census/census_generated.h
+++ b/packages/census/include/tamarackspan/census/census_generated.h
@@ -180,6 +180,10 @@
   std::vector<std::string> out_of_reach{};
   float asked = 0.0f;
   float served = 0.0f;
+  uint64_t store_reader = 0;
+  uint64_t store_read = 0;
+  uint64_t store_revision = 0;
+  uint32_t store_age_ms = 0;
   ReportT() = default;
   ReportT(const ReportT &o);
   ReportT(ReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -195,7 +199,11 @@
     VT_WANTS_REPLY = 8,
     VT_OUT_OF_REACH = 10,
     VT_ASKED = 12,
-    VT_SERVED = 14
+    VT_SERVED = 14,
+    VT_STORE_READER = 16,
+    VT_STORE_READ = 18,
+    VT_STORE_REVISION = 20,
+    VT_STORE_AGE_MS = 22
   };
   const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Host>> *hosts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Host>> *>(VT_HOSTS);
@@ -215,6 +223,18 @@
   float served() const {
     return GetField<float>(VT_SERVED, 0.0f);
   }
+  uint64_t store_reader() const {
+    return GetField<uint64_t>(VT_STORE_READER, 0);
+  }
+  uint64_t store_read() const {
+    return GetField<uint64_t>(VT_STORE_READ, 0);
+  }
+  uint64_t store_revision() const {
+    return GetField<uint64_t>(VT_STORE_REVISION, 0);
+  }
+  uint32_t store_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOSTS) &&
@@ -227,6 +247,10 @@
            verifier.VerifyVectorOfStrings(out_of_reach()) &&
            VerifyField<float>(verifier, VT_ASKED, 4) &&
            VerifyField<float>(verifier, VT_SERVED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_READER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_READ, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            verifier.EndTable();
   }
   ReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -256,6 +280,18 @@
   void add_served(float served) {
     fbb_.AddElement<float>(Report::VT_SERVED, served, 0.0f);
   }
+  void add_store_reader(uint64_t store_reader) {
+    fbb_.AddElement<uint64_t>(Report::VT_STORE_READER, store_reader, 0);
+  }
+  void add_store_read(uint64_t store_read) {
+    fbb_.AddElement<uint64_t>(Report::VT_STORE_READ, store_read, 0);
+  }
+  void add_store_revision(uint64_t store_revision) {
+    fbb_.AddElement<uint64_t>(Report::VT_STORE_REVISION, store_revision, 0);
+  }
+  void add_store_age_ms(uint32_t store_age_ms) {
+    fbb_.AddElement<uint32_t>(Report::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -275,8 +311,16 @@
     bool wants_reply = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> out_of_reach = 0,
     float asked = 0.0f,
-    float served = 0.0f) {
+    float served = 0.0f,
+    uint64_t store_reader = 0,
+    uint64_t store_read = 0,
+    uint64_t store_revision = 0,
+    uint32_t store_age_ms = 0) {
   ReportBuilder builder_(_fbb);
+  builder_.add_store_revision(store_revision);
+  builder_.add_store_read(store_read);
+  builder_.add_store_reader(store_reader);
+  builder_.add_store_age_ms(store_age_ms);
   builder_.add_served(served);
   builder_.add_asked(asked);
   builder_.add_out_of_reach(out_of_reach);
@@ -293,7 +337,11 @@
     bool wants_reply = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *out_of_reach = nullptr,
     float asked = 0.0f,
-    float served = 0.0f) {
+    float served = 0.0f,
+    uint64_t store_reader = 0,
+    uint64_t store_read = 0,
+    uint64_t store_revision = 0,
+    uint32_t store_age_ms = 0) {
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::census::frame::Host>>(*hosts) : 0;
   auto out_of_reach__ = out_of_reach ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*out_of_reach) : 0;
   return tamarackspan::census::frame::CreateReport(
@@ -303,7 +351,11 @@
       wants_reply,
       out_of_reach__,
       asked,
-      served);
+      served,
+      store_reader,
+      store_read,
+      store_revision,
+      store_age_ms);
 }
 
 flatbuffers::Offset<Report> CreateReport(flatbuffers::FlatBufferBuilder &_fbb, const ReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -357,7 +409,11 @@
         wants_reply(o.wants_reply),
         out_of_reach(o.out_of_reach),
         asked(o.asked),
-        served(o.served) {
+        served(o.served),
+        store_reader(o.store_reader),
+        store_read(o.store_read),
+        store_revision(o.store_revision),
+        store_age_ms(o.store_age_ms) {
   hosts.reserve(o.hosts.size());
   for (const auto &hosts_ : o.hosts) { hosts.emplace_back((hosts_) ? new tamarackspan::census::frame::HostT(*hosts_) : nullptr); }
 }
@@ -369,6 +425,10 @@
   std::swap(out_of_reach, o.out_of_reach);
   std::swap(asked, o.asked);
   std::swap(served, o.served);
+  std::swap(store_reader, o.store_reader);
+  std::swap(store_read, o.store_read);
+  std::swap(store_revision, o.store_revision);
+  std::swap(store_age_ms, o.store_age_ms);
   return *this;
 }
 
@@ -387,6 +447,10 @@
   { auto _e = out_of_reach(); if (_e) { _o->out_of_reach.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->out_of_reach[_i] = _e->Get(_i)->str(); } } }
   { auto _e = asked(); _o->asked = _e; }
   { auto _e = served(); _o->served = _e; }
+  { auto _e = store_reader(); _o->store_reader = _e; }
+  { auto _e = store_read(); _o->store_read = _e; }
+  { auto _e = store_revision(); _o->store_revision = _e; }
+  { auto _e = store_age_ms(); _o->store_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Report> Report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -403,6 +467,10 @@
   auto _out_of_reach = _o->out_of_reach.size() ? _fbb.CreateVectorOfStrings(_o->out_of_reach) : 0;
   auto _asked = _o->asked;
   auto _served = _o->served;
+  auto _store_reader = _o->store_reader;
+  auto _store_read = _o->store_read;
+  auto _store_revision = _o->store_revision;
+  auto _store_age_ms = _o->store_age_ms;
   return tamarackspan::census::frame::CreateReport(
       _fbb,
       _hosts,
@@ -410,7 +478,11 @@
       _wants_reply,
       _out_of_reach,
       _asked,
-      _served);
+      _served,
+      _store_reader,
+      _store_read,
+      _store_revision,
+      _store_age_ms);
 }
 
 inline const tamarackspan::census::frame::Report *GetReport(const void *buf) {
--- a/packages/census/include/tamarackspan/census/census_link.h
+++ b/packages/census/include/tamarackspan/census/census_link.h
@@ -30,11 +30,11 @@
     friend auto operator==(const CensusSettings &, const CensusSettings &) -> bool = default;
 };
 
-/// Encodes a report as one datagram.
-[[nodiscard]] auto encodeReport(const HostReport &report) -> std::string;
+/// Encodes a report as one datagram that is sent at `now`.
+[[nodiscard]] auto encodeReport(const HostReport &report, absl::Time now) -> std::string;
 
-/// Decodes a datagram; returns nothing if it isn't a valid report.
-[[nodiscard]] auto decodeReport(std::string_view datagram) -> std::optional<HostReport>;
+/// Decodes a datagram that was received at `now`; returns nothing if it isn't a valid report.
+[[nodiscard]] auto decodeReport(std::string_view datagram, absl::Time now) -> std::optional<HostReport>;
 
 /// Sends and receives gossip reports over UDP on the thread of one event loop.
 class CensusLink
@@ -60,8 +60,13 @@
     /// that finds the same tells others, so that all know it after a few steps.
     auto setReach(ReachStatement statement) -> void;
 
+    /// Sets the statement about the document store that all reports from now on carry, and sends it to some hosts at once: to several of the own data centre,
+    /// and to some of each other one if this host made the read.
+    auto spreadRevision(const RevisionStatement &statement, bool ownRead) -> void;
+
 private:
-    [[nodiscard]] auto encodeWithReach(HostReport report) const -> std::string;
+    /// Adds this host's own statements to a report and encodes it.
+    [[nodiscard]] auto encodeWithStatements(HostReport report) const -> std::string;
     auto receive() -> void;
     auto sendTo(const std::string &ip, const std::string &datagram) const -> void;
     auto schedule() -> void;
@@ -72,6 +77,7 @@
     base::Random random;
     std::function<void(const HostReport &)> onReport;
     ReachStatement reach{};
+    std::optional<RevisionStatement> revision{};
     transport::TimerId timer = 0;
     int fd = -1;
 };
--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,19 @@
     friend auto operator==(const ReachStatement &, const ReachStatement &) -> bool = default;
 };
 
+/// A revision of the document store that a current read returned. Whoever knows the changes up to that revision knows all that were accepted before the read.
+struct RevisionStatement
+{
+    /// Identifies one start of the host that made the read, and the read among its reads, which are numbered from 1.
+    std::uint64_t reader = 0;
+    std::uint64_t read = 0;
+    std::uint64_t revision = 0;
+    /// When the read was sent, by this host's monotonic clock.
+    absl::Time currentAt = absl::InfinitePast();
+
+    friend auto operator==(const RevisionStatement &, const RevisionStatement &) -> bool = default;
+};
+
 /// The contents of one gossip report.
 struct HostReport
 {
@@ -52,6 +66,8 @@
     bool wantsReply = false;
     /// The sender's own statement.
     ReachStatement reach{};
+    /// The latest statement about the document store that the sender knows; datagrams carry its age.
+    std::optional<RevisionStatement> revision{};
 
     friend auto operator==(const HostReport &, const HostReport &) -> bool = default;
 };
@@ -177,6 +193,13 @@
     /// Returns reports to up to `count` reachable hosts of the own data centre, chosen at random.
     [[nodiscard]] auto planAnnouncement(std::size_t count, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>;
 
+    /// Returns reports to up to `near` reachable hosts of the own data centre and up to `far` of each other one, chosen at random.
+    [[nodiscard]] auto planSpread(std::size_t near, std::size_t far, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>;
+
+    /// Returns this host's place in the order of all reachable hosts that aren't stopping, from 0; nothing if this host is stopping or hasn't settled yet.
+    /// Hosts that know each other agree on the order.
+    [[nodiscard]] auto rank(absl::Time now) const -> std::optional<std::size_t>;
+
     /// Returns, for each data centre, the number of hosts that global limits are divided among, this one included.
     [[nodiscard]] auto hostsByDataCentre(absl::Time now) const -> HostCounts;
 
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cmath>
 #include <cstring>
+#include <limits>
 #include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -27,6 +28,11 @@
 constexpr auto hostsPerProbe = std::size_t{3};
 /// Hosts that are told at once when data centres come into or out of reach: three steps reach several hundred hosts.
 constexpr auto hostsPerAnnouncement = std::size_t{8};
+/// Hosts of each other data centre that are told of a read of the document store by the host that made it, since a datagram may be lost.
+constexpr auto hostsPerRemoteAnnouncement = std::size_t{2};
+/// Hosts of the own data centre to which a host relays a statement about the document store: 98 in 100 hosts hear of it in this way, the others with the
+/// regular reports.
+constexpr auto hostsPerRelay = std::size_t{4};
 /// A report that names more data centres than this as out of reach is rejected as invalid.
 constexpr auto maxOutOfReach = std::uint32_t{64};
 
@@ -41,7 +47,7 @@
 
 } // namespace
 
-auto encodeReport(const HostReport &report) -> std::string
+auto encodeReport(const HostReport &report, absl::Time now) -> std::string
 {
     auto message = frame::ReportT();
     message.known = static_cast<std::uint32_t>(report.known);
@@ -49,6 +55,13 @@
     message.out_of_reach = report.reach.outOfReach;
     message.asked = report.reach.asked;
     message.served = report.reach.served;
+    if (report.revision.has_value()) {
+        const auto age = absl::ToInt64Milliseconds(absl::Ceil(now - report.revision->currentAt, absl::Milliseconds(1)));
+        message.store_reader = report.revision->reader;
+        message.store_read = report.revision->read;
+        message.store_revision = report.revision->revision;
+        message.store_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+    }
     for (const auto &record : report.records) {
         auto host = std::make_unique<frame::HostT>();
         host->name = record.name;
@@ -65,7 +78,7 @@
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
-auto decodeReport(std::string_view datagram) -> std::optional<HostReport>
+auto decodeReport(std::string_view datagram, absl::Time now) -> std::optional<HostReport>
 {
     const auto *const bytes = reinterpret_cast<const std::uint8_t *>(datagram.data());
     auto verifier = flatbuffers::Verifier(bytes, datagram.size());
@@ -97,6 +110,12 @@
             decoded.reach.outOfReach.push_back(name->str());
         }
     }
+    if (report->store_read() != 0) {
+        decoded.revision = RevisionStatement{.reader = report->store_reader(),
+                                             .read = report->store_read(),
+                                             .revision = report->store_revision(),
+                                             .currentAt = now - absl::Milliseconds(report->store_age_ms())};
+    }
     return decoded;
 }
 
@@ -147,8 +166,8 @@
 {
     const auto now = base::monotonicNow();
     this->census.beginRound(now);
-    const auto announcement = this->encodeWithReach(this->census.makeReport(this->settings.recordsPerReport, false, this->random, now));
-    const auto request = this->encodeWithReach(this->census.makeReport(this->settings.recordsPerReport, true, this->random, now));
+    const auto announcement = this->encodeWithStatements(this->census.makeReport(this->settings.recordsPerReport, false, this->random, now));
+    const auto request = this->encodeWithStatements(this->census.makeReport(this->settings.recordsPerReport, true, this->random, now));
     for (const auto &planned : this->census.planReports(this->settings.reports, this->random, now)) {
         this->sendTo(planned.ip, planned.wantsReply ? request : announcement);
     }
@@ -157,7 +176,7 @@
 auto CensusLink::probe(std::string_view dataCentre) -> void
 {
     // The own record only: while a data centre is cut off, all others probe it.
-    const auto request = this->encodeWithReach(this->census.makeReport(1, true, this->random, base::monotonicNow()));
+    const auto request = this->encodeWithStatements(this->census.makeReport(1, true, this->random, base::monotonicNow()));
     for (const auto &planned : this->census.planProbes(dataCentre, hostsPerProbe, this->random)) {
         this->sendTo(planned.ip, request);
     }
@@ -171,16 +190,28 @@
         return;
     }
     const auto now = base::monotonicNow();
-    const auto report = this->encodeWithReach(this->census.makeReport(1, false, this->random, now));
+    const auto report = this->encodeWithStatements(this->census.makeReport(1, false, this->random, now));
     for (const auto &planned : this->census.planAnnouncement(hostsPerAnnouncement, this->random, now)) {
         this->sendTo(planned.ip, report);
     }
 }
 
-auto CensusLink::encodeWithReach(HostReport report) const -> std::string
+auto CensusLink::spreadRevision(const RevisionStatement &statement, bool ownRead) -> void
+{
+    this->revision = statement;
+    const auto now = base::monotonicNow();
+    const auto report = this->encodeWithStatements(this->census.makeReport(1, false, this->random, now));
+    for (const auto &planned :
+         this->census.planSpread(ownRead ? hostsPerAnnouncement : hostsPerRelay, ownRead ? hostsPerRemoteAnnouncement : 0, this->random, now)) {
+        this->sendTo(planned.ip, report);
+    }
+}
+
+auto CensusLink::encodeWithStatements(HostReport report) const -> std::string
 {
     report.reach = this->reach;
-    return encodeReport(report);
+    report.revision = this->revision;
+    return encodeReport(report, base::monotonicNow());
 }
 
 auto CensusLink::sendTo(const std::string &ip, const std::string &datagram) const -> void
@@ -198,16 +229,16 @@
         if (got < 0) {
             return;
         }
-        const auto report = decodeReport(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+        const auto now = base::monotonicNow();
+        const auto report = decodeReport(std::string_view(buffer.data(), static_cast<std::size_t>(got)), now);
         if (!report.has_value() || report->records.empty()) {
             continue;
         }
-        const auto now = base::monotonicNow();
         this->census.applyReport(*report, now);
         this->onReport(*report);
         const auto &sender = report->records.front();
         if (report->wantsReply || this->census.holdsNewerIncarnation(sender)) {
-            this->sendTo(sender.ip, this->encodeWithReach(this->census.makeReply(sender, this->settings.recordsPerReport, this->random, now)));
+            this->sendTo(sender.ip, this->encodeWithStatements(this->census.makeReply(sender, this->settings.recordsPerReport, this->random, now)));
         }
     }
 }
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -131,6 +131,29 @@
     return planned;
 }
 
+auto HostCensus::planSpread(std::size_t near, std::size_t far, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>
+{
+    auto byDataCentre = std::map<std::string, std::vector<HostRecord>>();
+    for (auto &host : this->alive(now)) {
+        byDataCentre[host.dataCentre].push_back(std::move(host));
+    }
+    auto planned = std::vector<PlannedReport>();
+    for (auto &[dataCentre, hosts] : byDataCentre) {
+        addRandomHosts(planned, std::move(hosts), dataCentre == this->self().dataCentre ? near : far, false, random);
+    }
+    return planned;
+}
+
+auto HostCensus::rank(absl::Time now) const -> std::optional<std::size_t>
+{
+    if (this->self().stopping || !this->isSettled(now)) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(this->alive(now), [this](const HostRecord &host) {
+        return !host.stopping && host.name < this->ownName;
+    }));
+}
+
 auto HostCensus::planReports(const GossipSettings &settings, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>
 {
     auto planned = std::vector<PlannedReport>();
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -253,20 +253,65 @@
 {
     const auto report = HostReport{
         .records = {record("1"), record("2", 500, "b")}, .known = 7, .wantsReply = true, .reach = {.outOfReach = {"b", "c"}, .asked = 2.5F, .served = 0.5F}};
-    const auto datagram = encodeReport(report);
-    EXPECT_EQ(decodeReport(datagram), report);
-    EXPECT_EQ(decodeReport("hello"), std::nullopt);
-    EXPECT_EQ(decodeReport(""), std::nullopt);
+    const auto datagram = encodeReport(report, start);
+    EXPECT_EQ(decodeReport(datagram, start), report);
+    EXPECT_EQ(decodeReport("hello", start), std::nullopt);
+    EXPECT_EQ(decodeReport("", start), std::nullopt);
     for (auto size = std::size_t{0}; size < datagram.size(); ++size) {
         // The last bytes may be padding, so a datagram cut there still decodes to the same report.
-        const auto cut = decodeReport(std::string_view(datagram).substr(0, size));
+        const auto cut = decodeReport(std::string_view(datagram).substr(0, size), start);
         EXPECT_TRUE(!cut.has_value() || *cut == report) << size;
     }
-    EXPECT_LE(encodeReport({.records = std::vector<HostRecord>(10, record("front-imereti-a-100"))}).size(), 1200);
+    const auto stated = RevisionStatement{.reader = 1U << 30U, .read = 7, .revision = 9, .currentAt = start - absl::Milliseconds(300)};
+    EXPECT_LE(encodeReport({.records = std::vector<HostRecord>(10, record("front-imereti-a-100")), .revision = stated}, start).size(), 1200);
     for (const auto &[asked, served] : std::vector<std::pair<float, float>>{{1.0F, 2.0F}, {-1.0F, -2.0F}, {NAN, NAN}, {INFINITY, 0.0F}}) {
-        EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = {"b"}, .asked = asked, .served = served}})), std::nullopt);
+        EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = {"b"}, .asked = asked, .served = served}}, start), start),
+                  std::nullopt);
     }
-    EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = std::vector<std::string>(100, "b")}})), std::nullopt);
+    EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = std::vector<std::string>(100, "b")}}, start), start), std::nullopt);
+}
+
+// Clocks of hosts differ: a datagram carries the age of a statement, and its own way counts as part of that age only if the receiver adds it.
+TEST(CensusReport, CarriesTheAgeOfAStatementAboutTheStore)
+{
+    const auto report = HostReport{.records = {record("1")},
+                                   .revision = RevisionStatement{.reader = 5, .read = 7, .revision = 9, .currentAt = start - absl::Milliseconds(300)}};
+    EXPECT_EQ(decodeReport(encodeReport(report, start), start), report);
+    const auto otherClock = start + absl::Hours(3);
+    const auto received = decodeReport(encodeReport(report, start), otherClock);
+    ASSERT_TRUE(received.has_value() && received->revision.has_value());
+    EXPECT_EQ(received->revision->currentAt, otherClock - absl::Milliseconds(300));
+}
+
+TEST(HostCensus, HostsAgreeOnTheirOrder)
+{
+    const auto later = start + absl::Seconds(5);
+    auto first = HostCensus(record("1"), {}, start);
+    auto second = HostCensus(record("2"), {}, start);
+    EXPECT_EQ(first.rank(start), std::nullopt);
+    first.applyRecord(record("2"), later);
+    second.applyRecord(record("1"), later);
+    EXPECT_EQ(first.rank(later), 0);
+    EXPECT_EQ(second.rank(later), 1);
+    auto stopping = record("1");
+    stopping.stopping = true;
+    stopping.sequence = 2;
+    second.applyRecord(stopping, later);
+    EXPECT_EQ(second.rank(later), 0);
+    first.announceStop();
+    EXPECT_EQ(first.rank(later), std::nullopt);
+}
+
+TEST(HostCensus, AStatementGoesToHostsOfEachDataCentre)
+{
+    auto census = HostCensus(record("1"), {}, start);
+    for (const auto &[name, dataCentre] :
+         std::vector<std::pair<std::string, std::string>>{{"2", "a"}, {"3", "a"}, {"4", "b"}, {"5", "b"}, {"6", "b"}, {"7", "c"}}) {
+        census.applyRecord(record(name, 120, dataCentre), start);
+    }
+    auto random = base::Random(1);
+    EXPECT_EQ(census.planSpread(8, 2, random, start).size(), 2 + 2 + 1);
+    EXPECT_EQ(census.planSpread(1, 0, random, start).size(), 1);
 }
 
 } // namespace
--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -3,6 +3,7 @@
 #include "tamarackspan/gateway/catalogue.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
+#include "tamarackspan/gateway/revision_history.h"
 #include "tamarackspan/logging/logger.h"
 #include "tamarackspan/transport/event_loop.h"
 
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +22,10 @@
 struct FollowerSettings
 {
     /// Time between two reads of changes. Leafs report all the time, so a read that waits for the next change would return at once. The interval is a third of
-    /// the time within which a leaf's departure must be known; the rest allows for a store that answers late or is slightly stale.
+    /// the time within which a leaf's departure must be known; the rest allows for a store that answers late.
     absl::Duration interval = absl::Milliseconds(1000);
+    /// When a read of changes must be current instead of cheap, so that the age of what is known has a bound.
+    CurrentReadSettings currentReads{};
     /// How long a read waits for the next catalogue. Changes also deliver catalogues, so a lost read costs one interval.
     absl::Duration catalogueWait = absl::Seconds(25);
     /// If no leafs are known for services that a new catalogue adds, fresh listings are read this often, until `freshWindow` after the catalogue: leafs start
@@ -40,6 +44,18 @@
     friend auto operator==(const FollowerSettings &, const FollowerSettings &) -> bool = default;
 };
 
+/// How a follower shares current reads with the followers of other hosts.
+struct FollowerPeers
+{
+    /// Identifies this start of the host in its statements.
+    std::uint64_t reader = 0;
+    /// Returns this host's place among all hosts, from 0; nothing if it isn't known or the host is about to stop. May be empty: then this host reads for itself
+    /// only.
+    std::function<std::optional<std::size_t>()> rank{};
+    /// Tells other hosts of a statement, which this host's own read brought if `ownRead`. May be empty.
+    std::function<void(const census::RevisionStatement &, bool ownRead)> spread{};
+};
+
 /// Keeps the catalogue and the leafs' entries of a host up to date from a read-only document store, which may be unreachable and may lose its history of
 /// changes. The last known state stays in use while the store is unreachable.
 class DocumentFollower
@@ -48,8 +64,8 @@
     using OnCatalogue = std::function<void(std::shared_ptr<const Catalogue>)>;
 
     /// Objects passed by reference must outlive the follower.
-    DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings, OnCatalogue onCatalogue,
-                     const logging::Logger &log);
+    DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings, FollowerPeers peers,
+                     OnCatalogue onCatalogue, const logging::Logger &log);
     ~DocumentFollower();
     DocumentFollower(const DocumentFollower &) = delete;
     auto operator=(const DocumentFollower &) -> DocumentFollower & = delete;
@@ -60,14 +76,24 @@
     /// Returns whether the catalogue and a complete listing of the leafs have been read.
     [[nodiscard]] auto complete() const noexcept -> bool;
 
+    /// Records what another host states about the store's revision. It confirms what is known here, or shows that cheap reads are stale.
+    auto noteStatement(const census::RevisionStatement &statement) -> void;
+
+    /// Returns up to when all changes of the store are known; the infinite past before the first reads.
+    [[nodiscard]] auto knownUntil() const -> absl::Time;
+
     /// Returns how many calls were made to the store.
     [[nodiscard]] auto calls() const noexcept -> std::uint64_t;
 
+    /// Returns how many of them were current reads of changes.
+    [[nodiscard]] auto currentReads() const noexcept -> std::uint64_t;
+
 private:
     auto readCatalogue() -> void;
     auto watchCatalogue() -> void;
     auto readLeafs() -> void;
     auto readChanges() -> void;
+    auto readCurrentChanges() -> void;
     auto onCatalogueReply(const DocumentReply &reply) -> void;
     auto onCatalogueChanges(const DocumentReply &reply) -> void;
     auto onLeafsReply(const DocumentReply &reply) -> void;
@@ -78,7 +104,11 @@
     auto scheduleStep(absl::Duration delay, void (DocumentFollower::*step)()) -> void;
     /// Returns whether a service that the newest catalogue has added has no known leafs and a fresh listing, which may show some, is due.
     [[nodiscard]] auto lacksLeafs(absl::Time now) const -> bool;
+    /// Makes the next read of changes or leafs if one is due.
     auto readNext() -> void;
+    [[nodiscard]] auto currentReadView() const -> CurrentReadView;
+    /// Records the revision that a current read, sent at `sentAt`, returned.
+    auto noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void;
     /// Schedules the next read of changes or leafs: at once if a service lacks leafs.
     auto scheduleNextRead() -> void;
     /// Runs a scheduled read at once if a service lacks leafs. Otherwise, when a new set of shards comes into force while cheap reads are stale, each query for
@@ -90,8 +120,14 @@
     DocumentCalls store;
     LeafDirectory &directory;
     FollowerSettings settings;
+    FollowerPeers peers;
     OnCatalogue onCatalogue;
     const logging::Logger &log;
+    RevisionHistory statements;
+    std::uint64_t ownReads = 0;
+    std::uint64_t currentReadsMade = 0;
+    /// When the last read of changes or leafs ended.
+    absl::Time lastReadAt = absl::InfinitePast();
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::uint64_t version = 0;
     std::uint64_t revision = 0;
--- a/packages/gateway/include/tamarackspan/gateway/fwd.h
+++ b/packages/gateway/include/tamarackspan/gateway/fwd.h
@@ -17,10 +17,15 @@
 struct CallerProtocol;
 struct LeafProtocol;
 struct DocumentCalls;
+struct CurrentReadSettings;
+struct CurrentReadView;
+struct FollowerPeers;
 struct GatewaySettings;
 class ExtraRequestBudget;
 class LeafDirectory;
 class ReportDeduplicator;
+class RevisionHistory;
+class PauseDetector;
 class DocumentFollower;
 class Gateway;
 
--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -182,8 +182,8 @@
     std::function<void(std::uint64_t afterRevision, absl::Duration wait, absl::Duration timeout, Callback)> catalogueChanges;
     /// Lists leafs' entries after a key. May be slightly stale unless `fresh`, which costs more.
     std::function<void(const std::string &afterKey, bool fresh, absl::Duration timeout, Callback)> leafs;
-    /// Returns all changes after a revision, of catalogue and leafs, without waiting. May be slightly stale.
-    std::function<void(std::uint64_t afterRevision, absl::Duration timeout, Callback)> changes;
+    /// Returns all changes after a revision, of catalogue and leafs, without waiting. May be stale by seconds unless `fresh`, which costs more.
+    std::function<void(std::uint64_t afterRevision, bool fresh, absl::Duration timeout, Callback)> changes;
 };
 
 } // namespace tamarackspan::gateway
--- a/packages/gateway/src/document_follower.cpp
+++ b/packages/gateway/src/document_follower.cpp
@@ -9,12 +9,13 @@
 
 namespace tamarackspan::gateway {
 
-DocumentFollower::DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings,
+DocumentFollower::DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings, FollowerPeers peers,
                                    OnCatalogue onCatalogue, const logging::Logger &log)
     : loop(loop),
       store(std::move(calls)),
       directory(directory),
       settings(settings),
+      peers(std::move(peers)),
       onCatalogue(std::move(onCatalogue)),
       log(log)
 {
@@ -40,6 +41,39 @@
     return this->callsMade;
 }
 
+auto DocumentFollower::currentReads() const noexcept -> std::uint64_t
+{
+    return this->currentReadsMade;
+}
+
+auto DocumentFollower::knownUntil() const -> absl::Time
+{
+    return this->statements.knownUntil(this->revision);
+}
+
+auto DocumentFollower::noteStatement(const census::RevisionStatement &statement) -> void
+{
+    if (this->statements.record(statement, this->settings.currentReads.interval / 2) && this->peers.spread) {
+        this->peers.spread(statement, false);
+    }
+}
+
+auto DocumentFollower::noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void
+{
+    const auto statement = census::RevisionStatement{.reader = this->peers.reader, .read = ++this->ownReads, .revision = revision, .currentAt = sentAt};
+    if (this->statements.record(statement, this->settings.currentReads.interval / 2) && this->peers.spread) {
+        this->peers.spread(statement, true);
+    }
+}
+
+auto DocumentFollower::currentReadView() const -> CurrentReadView
+{
+    const auto latest = this->statements.latest();
+    return {.knownUntil = this->knownUntil(),
+            .statedAt = latest.has_value() ? latest->currentAt : absl::InfinitePast(),
+            .rank = this->peers.rank ? this->peers.rank() : std::nullopt};
+}
+
 auto DocumentFollower::scheduleStep(absl::Duration delay, void (DocumentFollower::*step)()) -> void
 {
     this->loop.runAt(base::monotonicNow() + delay, [this, alive = this->alive, step] {
@@ -52,10 +86,14 @@
 auto DocumentFollower::readCatalogue() -> void
 {
     ++this->callsMade;
-    this->store.catalogue(this->settings.timeout, [this, alive = this->alive](const DocumentReply &reply) {
-        if (*alive) {
-            this->onCatalogueReply(reply);
+    this->store.catalogue(this->settings.timeout, [this, alive = this->alive, sentAt = base::monotonicNow()](const DocumentReply &reply) {
+        if (!*alive) {
+            return;
+        }
+        if (reply.outcome == DocumentReply::Outcome::Ok) {
+            this->noteCurrentRead(reply.revision, sentAt);
         }
+        this->onCatalogueReply(reply);
     });
 }
 
@@ -87,13 +125,32 @@
 {
     ++this->callsMade;
     this->directory.expire(base::monotonicNow());
-    this->store.changes(this->revision, this->settings.timeout, [this, alive = this->alive](const DocumentReply &reply) {
+    this->store.changes(this->revision, false, this->settings.timeout, [this, alive = this->alive](const DocumentReply &reply) {
         if (*alive) {
             this->onChangesReply(reply);
         }
     });
 }
 
+auto DocumentFollower::readCurrentChanges() -> void
+{
+    ++this->callsMade;
+    ++this->currentReadsMade;
+    this->directory.expire(base::monotonicNow());
+    this->store.changes(this->revision, true, this->settings.timeout, [this, alive = this->alive, sentAt = base::monotonicNow()](const DocumentReply &reply) {
+        if (!*alive) {
+            return;
+        }
+        if (reply.outcome == DocumentReply::Outcome::Ok) {
+            this->noteCurrentRead(reply.revision, sentAt);
+        } else if (reply.outcome == DocumentReply::Outcome::HistoryLost) {
+            // A cheap listing may be older than the history reaches: the current read after it would fail in the same way.
+            this->listingFresh = true;
+        }
+        this->onChangesReply(reply);
+    });
+}
+
 auto DocumentFollower::onCatalogueReply(const DocumentReply &reply) -> void
 {
     if (reply.outcome != DocumentReply::Outcome::Ok) {
@@ -175,6 +232,7 @@
         this->log.info("all leafs have been listed", {{"leafs", this->directory.size()}, {"revision", this->revision}});
     }
     this->listingFresh = false;
+    this->lastReadAt = now;
     this->scheduleNextRead();
 }
 
@@ -191,7 +249,8 @@
 auto DocumentFollower::scheduleNextRead() -> void
 {
     const auto now = base::monotonicNow();
-    this->plannedRead = this->loop.runAt(this->lacksLeafs(now) ? now : now + this->settings.interval, [this, alive = this->alive] {
+    const auto readAt = std::min(this->lastReadAt + this->settings.interval, currentReadDueAt(this->currentReadView(), this->settings.currentReads));
+    this->plannedRead = this->loop.runAt(this->lacksLeafs(now) ? now : std::max(readAt, now), [this, alive = this->alive] {
         if (*alive) {
             this->plannedRead = 0;
             this->readNext();
@@ -211,7 +270,20 @@
 {
     const auto now = base::monotonicNow();
     if (!this->lacksLeafs(now)) {
-        this->readChanges();
+        const auto view = this->currentReadView();
+        if (now >= currentReadDueAt(view, this->settings.currentReads)) {
+            if (now - view.knownUntil >= this->settings.currentReads.maxAge) {
+                this->log.info("what is known of the store is old; its current state is read",
+                               {{"age_ms", absl::ToInt64Milliseconds(now - view.knownUntil)},
+                                {"stated_ms_ago", absl::ToInt64Milliseconds(now - view.statedAt)},
+                                {"revision", this->revision}});
+            }
+            this->readCurrentChanges();
+        } else if (now >= this->lastReadAt + this->settings.interval) {
+            this->readChanges();
+        } else {
+            this->scheduleNextRead();
+        }
         return;
     }
     this->log.info("a service has no leafs; they are listed afresh", {{"version", this->version}});
@@ -237,7 +309,7 @@
             this->scheduleStep(lost ? absl::ZeroDuration() : this->settings.retryDelay, &DocumentFollower::readCatalogue);
             return;
         }
-        this->scheduleStep(this->settings.retryDelay, &DocumentFollower::readChanges);
+        this->scheduleStep(this->settings.retryDelay, &DocumentFollower::readNext);
         return;
     }
     this->noteContact();
@@ -245,6 +317,7 @@
         this->apply(change);
     }
     this->revision = std::max(this->revision, reply.revision);
+    this->lastReadAt = base::monotonicNow();
     this->scheduleNextRead();
 }
 
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -3,6 +3,7 @@
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/base/random.h"
 #include "tamarackspan/gateway/leaf_directory.h"
+#include "tamarackspan/gateway/pause_detector.h"
 #include "tamarackspan/http/stream_client.h"
 #include "tamarackspan/http/stream_server.h"
 #include "tamarackspan/logging/logger.h"
@@ -103,6 +104,7 @@
                      [this](const census::HostReport &report) {
                          this->onHostHeard(report.records.front());
                          this->onReachStated(report);
+                         this->onRevisionStated(report);
                      }),
           gateway(
               loop, settings.gateway, this->ports.callers, this->ports.leafs,
@@ -138,6 +140,15 @@
                             .onCallerDisconnected = [](http::ExchangeId) {}}),
           follower(
               loop, this->ports.documents, directory, settings.follower,
+              {.reader = base::mixBits(base::stableHash(settings.hostName.data(), settings.hostName.size())) ^ census.self().incarnation,
+               .rank =
+                   [this] {
+                       return this->census.rank(base::monotonicNow());
+                   },
+               .spread =
+                   [this](const census::RevisionStatement &statement, bool ownRead) {
+                       this->censusLink.spreadRevision(statement, ownRead);
+                   }},
               [this](std::shared_ptr<const Catalogue> catalogue) {
                   this->onCatalogue(std::move(catalogue));
               },
@@ -225,6 +236,7 @@
     auto scheduleReachCheck() -> void
     {
         this->loop.runAt(base::monotonicNow() + reachCheckInterval, [this] {
+            this->pauses.tick(base::monotonicNow());
             this->checkReach();
             this->scheduleReachCheck();
         });
@@ -278,6 +290,18 @@
         }
     }
 
+    auto onRevisionStated(const census::HostReport &report) -> void
+    {
+        if (!report.revision.has_value()) {
+            return;
+        }
+        if (this->pauses.mayBeDelayed(base::monotonicNow())) {
+            this->shard.add(this->delayedStatements);
+            return;
+        }
+        this->follower.noteStatement(*report.revision);
+    }
+
     /// Probes unresponsive data centres, and reports unready while other hosts serve callers better.
     auto checkReach() -> void
     {
@@ -341,8 +365,9 @@
         if (message.target.starts_with("/metrics")) {
             auto body = metrics::toPrometheus(this->registry.snapshot());
             absl::StrAppend(&body, "tamarackspan_leaf_connections_opened_total ", this->client.connectionsOpened(), "\n", "tamarackspan_store_calls_total ",
-                            this->follower.calls(), "\n", "tamarackspan_requests_under_way ", this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ",
-                            this->directory.size(), "\n", "tamarackspan_known_hosts ", this->census.quotaHostCount(base::monotonicNow()), "\n");
+                            this->follower.calls(), "\n", "tamarackspan_store_current_reads_total ", this->follower.currentReads(), "\n", this->knowledgeAge(),
+                            "tamarackspan_requests_under_way ", this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ", this->directory.size(), "\n",
+                            "tamarackspan_known_hosts ", this->census.quotaHostCount(base::monotonicNow()), "\n");
             this->monitoringServer.answer(id, {.status = 200, .headers = {{"Content-Type", metrics::prometheusContentType}}, .body = std::move(body)});
             return;
         }
@@ -353,6 +378,16 @@
         this->monitoringServer.answer(id, {.status = ready ? 200U : 503U});
     }
 
+    /// Returns the metric of how old what is known of the store is; nothing before the first reads.
+    [[nodiscard]] auto knowledgeAge() const -> std::string
+    {
+        const auto until = this->follower.knownUntil();
+        if (until == absl::InfinitePast()) {
+            return {};
+        }
+        return absl::StrCat("tamarackspan_store_knowledge_age_seconds ", absl::ToDoubleSeconds(base::monotonicNow() - until), "\n");
+    }
+
     auto onDirectoryEvent(const DirectoryEvent &event) -> void
     {
         const auto &entry = event.leaf->entry;
@@ -436,6 +471,8 @@
     logging::Logger log;
     metrics::MetricRegistry registry;
     metrics::MetricShard &shard;
+    metrics::CounterId delayedStatements = shard.counter({.metric = "tamarackspan_delayed_statements_total", .labels = {}});
+    PauseDetector pauses;
     http::StreamClient client;
     LeafDirectory directory;
     census::HostCensus census;
--- a/packages/gateway/tests/document_follower_test.cpp
+++ b/packages/gateway/tests/document_follower_test.cpp
@@ -50,7 +50,7 @@
                         callback(reply);
                     },
                 .changes =
-                    [](std::uint64_t, absl::Duration, const DocumentCalls::Callback &callback) {
+                    [](std::uint64_t, bool, absl::Duration, const DocumentCalls::Callback &callback) {
                         callback({.outcome = ok, .revision = 10});
                     }};
     }
@@ -65,7 +65,7 @@
     auto store = StaleStore();
     auto directory = LeafDirectory([](const DirectoryEvent &) {});
     auto follower = DocumentFollower(
-        loop, store.calls(), directory, {.interval = interval}, [](const std::shared_ptr<const Catalogue> &) {}, log);
+        loop, store.calls(), directory, {.interval = interval}, {}, [](const std::shared_ptr<const Catalogue> &) {}, log);
     follower.start();
     ASSERT_TRUE(follower.complete());
     auto known = false;
@@ -82,4 +82,164 @@
     EXPECT_FALSE(directory.service("old").leafs.empty());
 }
 
+/// Timings of the tests below, a twentieth of the usual ones.
+constexpr auto shortInterval = absl::Milliseconds(50);
+const auto shortSettings =
+    FollowerSettings{.interval = shortInterval,
+                     .currentReads = {.interval = shortInterval, .standInDelay = absl::Milliseconds(15), .maxAge = absl::Milliseconds(105)},
+                     .timeout = absl::Milliseconds(100),
+                     .retryDelay = absl::Milliseconds(15)};
+/// The time in which a change must be known.
+constexpr auto bound = absl::Milliseconds(150);
+
+/// A store whose cheap reads lag. The leaf "i-old" starts to drain, and a second catalogue comes, at `changeAt`; each read that waits for a catalogue is
+/// silent. The revision advances once a millisecond.
+struct LaggingStore
+{
+    absl::Duration lag{};
+    absl::Time begin = base::monotonicNow() - absl::Minutes(1);
+    absl::Time changeAt = absl::InfiniteFuture();
+    int currentReads = 0;
+    int cheapReads = 0;
+
+    [[nodiscard]] auto stateAt(absl::Time at) const -> DocumentReply
+    {
+        auto leaf = leafOf("old");
+        leaf.sequence = static_cast<std::uint64_t>(absl::ToInt64Milliseconds(at - this->begin)) + 1000;
+        leaf.draining = at >= this->changeAt;
+        return {.outcome = DocumentReply::Outcome::Ok, .changes = {leaf, catalogue(at >= this->changeAt ? 2 : 1, {"old"})}, .revision = leaf.sequence};
+    }
+
+    [[nodiscard]] auto calls() -> DocumentCalls
+    {
+        return {.catalogue =
+                    [this](absl::Duration, const DocumentCalls::Callback &callback) {
+                        callback(this->stateAt(base::monotonicNow()));
+                    },
+                .catalogueChanges = [](std::uint64_t, absl::Duration, absl::Duration, const DocumentCalls::Callback &) {},
+                .leafs =
+                    [this](const std::string &, bool fresh, absl::Duration, const DocumentCalls::Callback &callback) {
+                        callback(this->stateAt(base::monotonicNow() - (fresh ? absl::ZeroDuration() : this->lag)));
+                    },
+                .changes =
+                    [this](std::uint64_t, bool fresh, absl::Duration, const DocumentCalls::Callback &callback) {
+                        ++(fresh ? this->currentReads : this->cheapReads);
+                        callback(this->stateAt(base::monotonicNow() - (fresh ? absl::ZeroDuration() : this->lag)));
+                    }};
+    }
+};
+
+/// A follower of a lagging store, run for a while.
+struct Following
+{
+    transport::EventLoop loop{};
+    logging::Logger log{"test"};
+    LaggingStore store{};
+    LeafDirectory directory{[](const DirectoryEvent &) {}};
+    std::uint64_t version = 0;
+
+    auto run(FollowerPeers peers, absl::Duration span, const std::function<void(DocumentFollower &)> &atStart = {}) -> void
+    {
+        auto follower = DocumentFollower(
+            this->loop, this->store.calls(), this->directory, shortSettings, std::move(peers),
+            [this](const std::shared_ptr<const Catalogue> &next) {
+                this->version = next->version;
+            },
+            this->log);
+        follower.start();
+        if (atStart) {
+            atStart(follower);
+        }
+        this->loop.runAt(base::monotonicNow() + span, [this] {
+            this->loop.stop();
+        });
+        this->loop.run();
+    }
+};
+
+// Cheap reads that were seconds old made a host send requests to a leaf that had left (review/2).
+TEST(DocumentFollower, KnowsOfADrainingLeafInTimeWhenCheapReadsAreStale)
+{
+    for (const auto rank : {std::optional<std::size_t>(0), std::optional<std::size_t>(9), std::optional<std::size_t>()}) {
+        auto following = Following();
+        following.store.lag = absl::Seconds(10);
+        following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
+        following.run({.rank =
+                           [rank] {
+                               return rank;
+                           }},
+                      absl::Milliseconds(200) + bound);
+        ASSERT_EQ(following.directory.service("old").leafs.size(), 1);
+        EXPECT_TRUE(following.directory.service("old").leafs.front()->entry.draining);
+    }
+}
+
+// With the connection of the waiting read silent, a configuration came only with the next cheap read, which was seconds old (review/5).
+TEST(DocumentFollower, KnowsOfACatalogueInTimeWhenTheWaitingReadIsSilentAndCheapReadsAreStale)
+{
+    auto following = Following();
+    following.store.lag = absl::Seconds(10);
+    following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
+    following.run({}, absl::Milliseconds(200) + bound);
+    EXPECT_EQ(following.version, 2);
+}
+
+TEST(DocumentFollower, StatementsOfOtherHostsSpareCurrentReads)
+{
+    auto following = Following();
+    auto read = std::uint64_t{0};
+    auto state = std::function<void(DocumentFollower &)>();
+    state = [&](DocumentFollower &follower) {
+        const auto now = base::monotonicNow();
+        follower.noteStatement({.reader = 7, .read = ++read, .revision = following.store.stateAt(now).revision, .currentAt = now});
+        following.loop.runAt(now + shortInterval, [&state, &follower] {
+            state(follower);
+        });
+    };
+    following.run({}, absl::Seconds(1), state);
+    EXPECT_LE(following.store.currentReads, 2);
+    EXPECT_GE(following.store.cheapReads, 10);
+}
+
+TEST(DocumentFollower, StatementsThatCheapReadsDoNotReachAreNoKnowledge)
+{
+    auto following = Following();
+    following.store.lag = absl::Seconds(10);
+    following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
+    auto read = std::uint64_t{0};
+    auto state = std::function<void(DocumentFollower &)>();
+    state = [&](DocumentFollower &follower) {
+        const auto now = base::monotonicNow();
+        follower.noteStatement({.reader = 7, .read = ++read, .revision = following.store.stateAt(now).revision, .currentAt = now});
+        following.loop.runAt(now + shortInterval, [&state, &follower] {
+            state(follower);
+        });
+    };
+    following.run({}, absl::Milliseconds(200) + bound, state);
+    EXPECT_TRUE(following.directory.service("old").leafs.front()->entry.draining);
+}
+
+TEST(DocumentFollower, AnnouncesEachOwnCurrentReadOnce)
+{
+    auto following = Following();
+    auto announced = std::vector<census::RevisionStatement>();
+    following.run({.reader = 5,
+                   .rank =
+                       [] {
+                           return std::optional<std::size_t>(0);
+                       },
+                   .spread =
+                       [&announced](const census::RevisionStatement &statement, bool ownRead) {
+                           EXPECT_TRUE(ownRead);
+                           announced.push_back(statement);
+                       }},
+                  absl::Milliseconds(520));
+    EXPECT_GE(announced.size(), 5);
+    EXPECT_LE(announced.size(), 11);
+    for (auto at = std::size_t{1}; at < announced.size(); ++at) {
+        EXPECT_GT(announced[at].read, announced[at - 1].read);
+        EXPECT_GT(announced[at].currentAt, announced[at - 1].currentAt);
+    }
+}
+
 } // namespace
