Planned stop: what can't end in time is refused, what is under way is answered

What callers saw: around a SIGTERM to a host, connections closed with no whole answer, also for requests that may not be repeated.

Cause: a stopping host took connections and requests until its end, passed them on to leafs, and then ended its loop with what was under way.

Change: from the signal on a request is refused as not run, before any leaf is asked, unless twice the 95th percentile of its operation (a query: its objective) or its deadline ends before the host does. Half a second before the end of the grace the host closes its listening sockets, gives all that is under way a whole answer, one line with its id each, and refuses what still comes on open connections.

--- a/packages/gateway/include/tamarackspan/gateway/fwd.h
+++ b/packages/gateway/include/tamarackspan/gateway/fwd.h
@@ -12,6 +12,7 @@
 struct LatencyEstimate;
 struct NeighbourCondition;
 struct ForwardedQuery;
+struct StopView;
 struct DataCentreReachability;
 struct CallerRequest;
 struct CallerProtocol;
--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -11,6 +11,9 @@
 #include "tamarackspan/metrics/metric_registry.h"
 #include "tamarackspan/transport/event_loop.h"
 
+#include "absl/time/time.h"
+
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -86,6 +89,13 @@
     /// Stops work on a request whose caller has disconnected.
     auto onCallerDisconnected(http::StreamServer &server, http::ExchangeId exchange) -> void;
 
+    /// Serves only requests that are expected to end before `endsAt` from now on; refuses the others as not run before any leaf is asked.
+    auto beginStop(absl::Time endsAt) -> void;
+
+    /// Ends all requests under way with a whole answer: a query whose coverage suffices with what has arrived, another request that no leaf can have run as not
+    /// run, any other as failed. Returns how many there were.
+    auto endAll() -> std::size_t;
+
     /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
     auto onLeafGone(const KnownLeaf &leaf) -> void;
 
--- a/packages/gateway/include/tamarackspan/gateway/gateway_host.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway_host.h
@@ -24,8 +24,11 @@
     absl::Duration balancerWait = absl::Milliseconds(2600);
     /// Total time until the process is killed.
     absl::Duration grace = absl::Seconds(6);
-    /// The part of that time that is reserved for an orderly end.
+    /// This long before its end the host takes no more connections and ends the requests that are still under way; the rest of the time is for sending the
+    /// answers.
     absl::Duration reserve = absl::Milliseconds(500);
+    /// The process ends this long before it would be killed, whatever is still to be sent.
+    absl::Duration exitMargin = absl::Milliseconds(100);
 
     friend auto operator==(const StopSettings &, const StopSettings &) -> bool = default;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -10,6 +10,7 @@
 #include "tamarackspan/gateway/gather_decision.h"
 #include "tamarackspan/gateway/latency_estimate.h"
 #include "tamarackspan/gateway/record_merge.h"
+#include "tamarackspan/gateway/stop_decision.h"
 #include "tamarackspan/gateway/weighted_choice.h"
 
 #include "absl/strings/str_cat.h"
@@ -66,6 +67,9 @@
     return "host " + host;
 }
 
+/// Retry time after a refusal by a stopping host: the balancer may still send the caller's next connection to it.
+constexpr auto stoppingRetryAfter = absl::Milliseconds(50);
+
 /// The reason of a refusal because data centres are cut off, for the log.
 constexpr auto cutOffReason = std::string_view("data centres that hold its leafs are out of reach");
 
@@ -90,6 +94,8 @@
     metrics::MetricShard &metrics;
     const logging::Logger &log;
     std::shared_ptr<const ActiveCatalogue> published{};
+    /// When a stopping host ends all requests that are still under way.
+    absl::Time stopsAt = absl::InfiniteFuture();
     absl::flat_hash_map<std::string, std::unique_ptr<OperationState>> operationStates{};
     absl::flat_hash_map<WorkKey, SharedWork> works{};
     absl::flat_hash_map<std::string, NeighbourCondition> neighbours{};
@@ -196,6 +202,15 @@
             // The host that forwarded it has disconnected meanwhile.
             return;
         }
+        if (!endsInTime({.now = work->arrivedAt,
+                         .endsAt = this->stopsAt,
+                         .objectiveAt = work->objectiveAt,
+                         .deadlineAt = work->deadlineAt,
+                         .gather = work->isGather(),
+                         .estimate = state.estimate})) {
+            this->refuse(work, stoppingRetryAfter, "the host is stopping");
+            return;
+        }
         if (arrival.forwarded || !work->isGather() || !this->forwardQuery(work)) {
             this->askServices(work);
         }
@@ -986,6 +1001,27 @@
     }
 }
 
+auto Gateway::beginStop(absl::Time endsAt) -> void
+{
+    this->core->stopsAt = endsAt;
+}
+
+auto Gateway::endAll() -> std::size_t
+{
+    auto all = std::vector<impl::SharedWork>();
+    for (const auto &[key, work] : this->core->works) {
+        all.push_back(work);
+    }
+    for (const auto &work : all) {
+        if (work->isGather() && work->forwardCall == 0 && reachesFloor(work->answeredCount, work->slots.size(), work->operation().coverageFloor)) {
+            this->core->answer(work);
+        } else {
+            this->core->refuse(work, stoppingRetryAfter, "the host has to end");
+        }
+    }
+    return all.size();
+}
+
 auto Gateway::onLeafGone(const KnownLeaf &leaf) -> void
 {
     this->core->client.closePool(leaf.pool);
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -204,6 +204,9 @@
     /// Accepts queries from other hosts once leafs are known; until then a refused connection sends them elsewhere at once.
     auto listenForNeighbours() -> void
     {
+        if (this->stopping) {
+            return;
+        }
         if (this->follower.complete()) {
             this->listen(this->neighbourServer, {.ip = this->settings.callers.ip, .port = this->settings.gateway.neighbourPort}, "neighbours");
             return;
@@ -444,6 +447,7 @@
         this->censusLink.sendReports();
         this->callerServer.setDraining(true);
         this->neighbourServer.setDraining(true);
+        this->gateway.beginStop(this->stopBegan + this->settings.stop.grace - this->settings.stop.reserve);
         this->checkStop();
     }
 
@@ -451,12 +455,19 @@
     {
         const auto since = base::monotonicNow() - this->stopBegan;
         const auto &options = this->settings.stop;
-        if (since >= options.balancerWait) {
+        if (since >= options.grace - options.reserve && !std::exchange(this->serviceEnded, true)) {
+            this->endService();
+        }
+        if (since >= options.balancerWait || this->serviceEnded) {
             this->callerServer.closeIdle();
         }
-        const auto done = since >= options.balancerWait && this->callerServer.openConnections() == 0 && this->gateway.inFlight() == 0;
-        if (done || since >= options.grace - options.reserve) {
-            this->log.info("stopped", {{"unanswered", this->callerServer.unanswered()}, {"ms", absl::ToInt64Milliseconds(since)}});
+        const auto quiet = this->callerServer.openConnections() == 0 && this->neighbourServer.unfinished() == 0 && this->gateway.inFlight() == 0;
+        if ((quiet && (since >= options.balancerWait || this->serviceEnded)) || since >= options.grace - options.exitMargin) {
+            this->log.info("stopped",
+                           {{"unanswered", this->callerServer.unanswered() + this->neighbourServer.unanswered()},
+                            {"unsent", this->callerServer.unfinished() + this->neighbourServer.unfinished()},
+                            {"connections", this->callerServer.openConnections()},
+                            {"ms", absl::ToInt64Milliseconds(since)}});
             this->loop.stop();
             return;
         }
@@ -465,6 +476,15 @@
         });
     }
 
+    /// Takes no more connections and answers all that is under way; requests that still come on open connections are refused.
+    auto endService() -> void
+    {
+        this->callerServer.stopListening();
+        this->neighbourServer.stopListening();
+        const auto ended = this->gateway.endAll();
+        this->log.info("the grace ends; no connections are taken any more", {{"ended", ended}, {"connections", this->callerServer.openConnections()}});
+    }
+
     transport::EventLoop &loop;
     GatewayHostSettings settings;
     GatewayPorts ports;
@@ -492,6 +512,7 @@
     DocumentFollower follower;
     std::uint64_t stamp;
     bool stopping = false;
+    bool serviceEnded = false;
     bool reportedReady = false;
     /// This host's incarnation as last announced to other hosts.
     std::uint64_t announcedIncarnation = this->census.self().incarnation;
--- a/packages/http/include/tamarackspan/http/stream_server.h
+++ b/packages/http/include/tamarackspan/http/stream_server.h
@@ -79,6 +79,9 @@
     /// Listens on a further endpoint. Returns the bound port, or why listening failed.
     [[nodiscard]] auto listen(const transport::Endpoint &endpoint) -> absl::StatusOr<std::uint16_t>;
 
+    /// Accepts the connections that the system has established and closes all listening sockets.
+    auto stopListening() -> void;
+
     /// Sends the response to a request. Does nothing if a response was sent before or the caller has disconnected.
     auto answer(ExchangeId exchange, const StreamAnswer &answer) -> void;
 
@@ -89,16 +92,21 @@
     /// Sets the limits for everything read from now on.
     auto setLimits(StreamServerLimits limits) -> void;
 
-    /// Sets whether each response from now on closes its connection. Idle connections stay open, since a caller may be sending on them.
+    /// Sets whether each response from now on closes its connection, unless the caller has sent further requests ahead. Idle connections stay open, since a
+    /// caller may be sending on them.
     auto setDraining(bool draining) -> void;
 
-    /// Closes the connections that have no request in progress and on which no byte of a next request has been received.
+    /// Closes the connections that have no request in progress and on which no byte of a next request has arrived. Connections on which the last response was
+    /// sent stay until the caller closes its side.
     auto closeIdle() -> void;
 
     /// Return how many connections are open, and how many requests have no response yet.
     [[nodiscard]] auto openConnections() const noexcept -> std::size_t;
     [[nodiscard]] auto unanswered() const noexcept -> std::size_t;
 
+    /// Returns how many connections have a request without a response, or a response that isn't fully sent.
+    [[nodiscard]] auto unfinished() const -> std::size_t;
+
 private:
     struct Core;
     std::unique_ptr<Core> core;
--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -404,6 +404,15 @@
     return transport::boundPort(*fd);
 }
 
+auto StreamServer::stopListening() -> void
+{
+    for (const auto listener : std::exchange(this->core->listeners, {})) {
+        this->core->acceptAll(listener);
+        this->core->loop.unwatch(listener);
+        ::close(listener);
+    }
+}
+
 auto StreamServer::answer(ExchangeId exchange, const StreamAnswer &answer) -> void
 {
     const auto found = this->core->exchanges.find(exchange);
@@ -454,6 +463,13 @@
     return this->core->connections.size();
 }
 
+auto StreamServer::unfinished() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->core->connections, [](const auto &entry) {
+        return entry.second->exchange != 0 || !entry.second->output.empty();
+    }));
+}
+
 auto StreamServer::unanswered() const noexcept -> std::size_t
 {
     return this->core->exchanges.size();
