Stream server: an answer on its way isn't reset by closing its connection

What callers saw: a status, then a closed connection before the end of the body, while a host was stopping.

Cause: closeIdle() also closed connections whose last response had been handed to the system. If the caller sends anything more, or has sent bytes that aren't read yet, the close resets the connection and the rest of the response is lost.

--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -51,6 +52,12 @@
     return absl::Microseconds(info.tcpi_rtt);
 }
 
+auto hasUnreadBytes(int fd) -> bool
+{
+    auto bytes = 0;
+    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace
 
 struct StreamServer::Core
@@ -448,8 +455,10 @@
 {
     auto idle = std::vector<Core::Shared>();
     for (const auto &[fd, connection] : this->core->connections) {
-        if (connection->exchange == 0 && connection->readAhead.empty() && connection->output.empty()
-            && connection->reader.state() == MessageReader::State::Idle) {
+        const auto idleNow = connection->exchange == 0 && connection->readAhead.empty() && connection->output.empty()
+            && connection->reader.state() == MessageReader::State::Idle;
+        // Closing a connection with unread bytes resets it, which can destroy the last response on its way to the caller.
+        if (idleNow && !connection->closing && !hasUnreadBytes(fd)) {
             idle.push_back(connection);
         }
     }
--- a/packages/http/tests/stream_test.cpp
+++ b/packages/http/tests/stream_test.cpp
@@ -1,3 +1,4 @@
+#include "loop_thread.h"
 #include "raw_socket.h"
 
 #include "tamarackspan/base/clock.h"
@@ -23,43 +24,10 @@
 
 using namespace tamarackspan;
 using namespace tamarackspan::http;
+using test::LoopThread;
 
 constexpr auto resultTimeout = std::chrono::seconds(10);
 
-/// An event loop on a thread of its own.
-class LoopThread
-{
-public:
-    transport::EventLoop loop;
-
-    auto start() -> void
-    {
-        this->thread = std::thread([this] {
-            this->loop.run();
-        });
-    }
-
-    /// Runs a task on the loop and waits for it.
-    auto run(const std::function<void()> &task) -> void
-    {
-        auto done = std::promise<void>();
-        this->loop.post([&task, &done] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-    auto stop() -> void
-    {
-        this->loop.stop();
-        this->thread.join();
-    }
-
-private:
-    std::thread thread;
-};
-
 struct StreamServerTest : ::testing::Test
 {
     LoopThread thread;
