Stream server: requests sent ahead are answered before a draining connection closes

What callers saw: of several requests sent without waiting, only the first got an answer from a host that was stopping.

Cause: a draining server closed the connection with the response to the first request and dropped those that it had read behind it.

Change: the response that closes the connection is the one to the last request that was read.

--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -263,7 +263,8 @@
 
     auto write(const Shared &connection, const StreamAnswer &answer) -> void
     {
-        const auto keep = connection->keepAlive && !answer.close && !this->draining;
+        // Requests that were sent ahead and have been read get their responses too.
+        const auto keep = connection->keepAlive && !answer.close && !(this->draining && connection->readAhead.empty());
         auto head = impl::statusLine(answer.status);
         for (const auto &header : answer.headers) {
             absl::StrAppend(&head, header.name, ": ", header.value, "\r\n");
--- a/packages/http/tests/stream_drain_test.cpp
+++ b/packages/http/tests/stream_drain_test.cpp
@@ -94,6 +94,20 @@
     }
 }
 
+TEST_F(DrainingServerTest, RequestsThatWereSentAheadAreAnsweredBeforeTheConnectionCloses)
+{
+    this->drain();
+    const auto fd = test::connectTo(this->port);
+    test::sendAll(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto all = test::readToEnd(fd);
+    EXPECT_GE(all.size(), largeBody * 3);
+    EXPECT_LT(all.find("/1x"), all.find("/2x"));
+    EXPECT_LT(all.find("/2x"), all.find("/3x"));
+    EXPECT_NE(all.find("/3x"), std::string::npos);
+    EXPECT_GT(all.find("Connection: close"), all.find("/2x"));
+    ::close(fd);
+}
+
 TEST_F(DrainingServerTest, ACallerThatIsStillSendingItsRequestIsAnswered)
 {
     this->drain();
