--- a/packages/http/tests/message_reader_test.cpp
+++ b/packages/http/tests/message_reader_test.cpp
@@ -87,6 +87,30 @@
     }
 }
 
+// A message that ends anywhere before its end isn't complete, whoever sent it.
+TEST(MessageReader, NoMessageThatStopsEarlyIsComplete)
+{
+    const auto messages = std::vector<std::pair<Kind, std::string>>{
+        {Kind::Response, "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 4\r\n\r\nbody"},
+        {Kind::Response, "HTTP/1.1 200 OK\r\nServer: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nMore: b\r\n\r\n"},
+        {Kind::Response, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer: a\r\n\r\n"},
+        {Kind::Response, "HTTP/1.1 204 No Content\r\nServer: a\r\n\r\n"},
+        {Kind::Response, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"},
+        {Kind::Response, "HTTP/1.1 200 OK\r\nServer: a\r\n\r\n"},
+        {Kind::Request, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"},
+        {Kind::Request, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"},
+        {Kind::Request, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+    };
+    for (const auto &[kind, text] : messages) {
+        for (auto size = std::size_t{0}; size <= text.size(); ++size) {
+            auto reader = MessageReader(kind, {});
+            reader.read(std::string_view(text).substr(0, size));
+            reader.endOfStream();
+            EXPECT_EQ(reader.state() == State::Complete, size == text.size()) << text.substr(0, size);
+        }
+    }
+}
+
 TEST(MessageReader, SkipsInterimResponses)
 {
     auto reader = MessageReader(Kind::Response, {});
