--- a/packages/gateway/tests/document_follower_test.cpp
+++ b/packages/gateway/tests/document_follower_test.cpp
@@ -82,15 +82,16 @@
     EXPECT_FALSE(directory.service("old").leafs.empty());
 }
 
-/// Timings of the tests below, a twentieth of the usual ones.
-constexpr auto shortInterval = absl::Milliseconds(50);
-const auto shortSettings =
-    FollowerSettings{.interval = shortInterval,
-                     .currentReads = {.interval = shortInterval, .standInDelay = absl::Milliseconds(15), .maxAge = absl::Milliseconds(105)},
-                     .timeout = absl::Milliseconds(100),
-                     .retryDelay = absl::Milliseconds(15)};
+/// Timings of the tests below, a part of the usual ones.
+constexpr auto shortInterval = absl::Milliseconds(150);
+const auto shortSettings = FollowerSettings{.interval = shortInterval,
+                                            .currentReads = {.interval = shortInterval, .standInDelay = shortInterval * 0.3, .maxAge = shortInterval * 2.1},
+                                            .timeout = shortInterval * 1.5,
+                                            .retryDelay = shortInterval * 0.3};
 /// The time in which a change must be known.
-constexpr auto bound = absl::Milliseconds(150);
+const auto bound = shortInterval * 3;
+/// When the state of the store changes, from the start of a test.
+const auto changeAfter = shortInterval * 4;
 
 /// A store whose cheap reads lag. The leaf "i-old" starts to drain, and a second catalogue comes, at `changeAt`; each read that waits for a catalogue is
 /// silent. The revision advances once a millisecond.
@@ -145,6 +146,17 @@
     LaggingStore store{};
     LeafDirectory directory{[](const DirectoryEvent &) {}};
     std::uint64_t version = 0;
+    std::uint64_t statedReads = 0;
+
+    /// Tells the follower each interval what another host reads from the store, until the loop stops.
+    auto stateEachInterval(DocumentFollower &follower) -> void
+    {
+        const auto now = base::monotonicNow();
+        follower.noteStatement({.reader = 7, .read = ++this->statedReads, .revision = this->store.stateAt(now).revision, .currentAt = now});
+        this->loop.runAt(now + shortInterval, [this, &follower] {
+            this->stateEachInterval(follower);
+        });
+    }
 
     auto run(FollowerPeers peers, absl::Duration span, const std::function<void(DocumentFollower &)> &atStart = {}) -> void
     {
@@ -171,12 +183,12 @@
     for (const auto rank : {std::optional<std::size_t>(0), std::optional<std::size_t>(9), std::optional<std::size_t>()}) {
         auto following = Following();
         following.store.lag = absl::Seconds(10);
-        following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
+        following.store.changeAt = base::monotonicNow() + changeAfter;
         following.run({.rank =
                            [rank] {
                                return rank;
                            }},
-                      absl::Milliseconds(200) + bound);
+                      changeAfter + bound);
         ASSERT_EQ(following.directory.service("old").leafs.size(), 1);
         EXPECT_TRUE(following.directory.service("old").leafs.front()->entry.draining);
     }
@@ -187,24 +199,17 @@
 {
     auto following = Following();
     following.store.lag = absl::Seconds(10);
-    following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
-    following.run({}, absl::Milliseconds(200) + bound);
+    following.store.changeAt = base::monotonicNow() + changeAfter;
+    following.run({}, changeAfter + bound);
     EXPECT_EQ(following.version, 2);
 }
 
 TEST(DocumentFollower, StatementsOfOtherHostsSpareCurrentReads)
 {
     auto following = Following();
-    auto read = std::uint64_t{0};
-    auto state = std::function<void(DocumentFollower &)>();
-    state = [&](DocumentFollower &follower) {
-        const auto now = base::monotonicNow();
-        follower.noteStatement({.reader = 7, .read = ++read, .revision = following.store.stateAt(now).revision, .currentAt = now});
-        following.loop.runAt(now + shortInterval, [&state, &follower] {
-            state(follower);
-        });
-    };
-    following.run({}, absl::Seconds(1), state);
+    following.run({}, shortInterval * 20, [&following](DocumentFollower &follower) {
+        following.stateEachInterval(follower);
+    });
     EXPECT_LE(following.store.currentReads, 2);
     EXPECT_GE(following.store.cheapReads, 10);
 }
@@ -213,17 +218,10 @@
 {
     auto following = Following();
     following.store.lag = absl::Seconds(10);
-    following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
-    auto read = std::uint64_t{0};
-    auto state = std::function<void(DocumentFollower &)>();
-    state = [&](DocumentFollower &follower) {
-        const auto now = base::monotonicNow();
-        follower.noteStatement({.reader = 7, .read = ++read, .revision = following.store.stateAt(now).revision, .currentAt = now});
-        following.loop.runAt(now + shortInterval, [&state, &follower] {
-            state(follower);
-        });
-    };
-    following.run({}, absl::Milliseconds(200) + bound, state);
+    following.store.changeAt = base::monotonicNow() + changeAfter;
+    following.run({}, changeAfter + bound, [&following](DocumentFollower &follower) {
+        following.stateEachInterval(follower);
+    });
     EXPECT_TRUE(following.directory.service("old").leafs.front()->entry.draining);
 }
 
@@ -241,7 +239,7 @@
                            EXPECT_TRUE(ownRead);
                            announced.push_back(statement);
                        }},
-                  absl::Milliseconds(520));
+                  shortInterval * 10.4);
     EXPECT_GE(announced.size(), 5);
     EXPECT_LE(announced.size(), 11);
     for (auto at = std::size_t{1}; at < announced.size(); ++at) {
@@ -256,8 +254,8 @@
     auto following = Following();
     following.store.lag = absl::Seconds(10);
     following.store.historyLost = true;
-    following.store.changeAt = base::monotonicNow() + absl::Milliseconds(200);
-    const auto span = absl::Milliseconds(200) + bound;
+    following.store.changeAt = base::monotonicNow() + changeAfter;
+    const auto span = changeAfter + bound;
     following.run({}, span);
     EXPECT_TRUE(following.directory.service("old").leafs.front()->entry.draining);
     EXPECT_LE(following.store.catalogueReads, 2 * (span / shortInterval) + 2);
