--- a/packages/census/include/tamarackspan/census/census_link.h
+++ b/packages/census/include/tamarackspan/census/census_link.h
@@ -67,6 +67,8 @@
 private:
     /// Adds this host's own statements to a report and encodes it.
     [[nodiscard]] auto encodeWithStatements(HostReport report) const -> std::string;
+    /// Sends the own record and statements to up to `near` hosts of the own data centre and up to `far` of each other one at once.
+    auto announce(std::size_t near, std::size_t far) -> void;
     auto receive() -> void;
     auto sendTo(const std::string &ip, const std::string &datagram) const -> void;
     auto schedule() -> void;
--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -190,9 +190,6 @@
     /// Returns reports that request a reply, to up to `count` other hosts that belonged to a data centre when it was last heard, whether reachable now or not.
     [[nodiscard]] auto planProbes(std::string_view dataCentre, std::size_t count, base::Random &random) const -> std::vector<PlannedReport>;
 
-    /// Returns reports to up to `count` reachable hosts of the own data centre, chosen at random.
-    [[nodiscard]] auto planAnnouncement(std::size_t count, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>;
-
     /// Returns reports to up to `near` reachable hosts of the own data centre and up to `far` of each other one, chosen at random.
     [[nodiscard]] auto planSpread(std::size_t near, std::size_t far, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>;
 
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -188,20 +188,20 @@
     if (!changed) {
         return;
     }
-    const auto now = base::monotonicNow();
-    const auto report = this->encodeWithStatements(this->census.makeReport(1, false, this->random, now));
-    for (const auto &planned : this->census.planAnnouncement(hostsPerAnnouncement, this->random, now)) {
-        this->sendTo(planned.ip, report);
-    }
+    this->announce(hostsPerAnnouncement, 0);
 }
 
 auto CensusLink::spreadRevision(const RevisionStatement &statement, bool ownRead) -> void
 {
     this->revision = statement;
+    this->announce(ownRead ? hostsPerAnnouncement : hostsPerRelay, ownRead ? hostsPerRemoteAnnouncement : 0);
+}
+
+auto CensusLink::announce(std::size_t near, std::size_t far) -> void
+{
     const auto now = base::monotonicNow();
     const auto report = this->encodeWithStatements(this->census.makeReport(1, false, this->random, now));
-    for (const auto &planned :
-         this->census.planSpread(ownRead ? hostsPerAnnouncement : hostsPerRelay, ownRead ? hostsPerRemoteAnnouncement : 0, this->random, now)) {
+    for (const auto &planned : this->census.planSpread(near, far, this->random, now)) {
         this->sendTo(planned.ip, report);
     }
 }
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -120,17 +120,6 @@
     return countByDataCentre(this->lastKnownHosts());
 }
 
-auto HostCensus::planAnnouncement(std::size_t count, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>
-{
-    auto hosts = this->alive(now);
-    std::erase_if(hosts, [this](const HostRecord &host) {
-        return host.dataCentre != this->self().dataCentre;
-    });
-    auto planned = std::vector<PlannedReport>();
-    addRandomHosts(planned, std::move(hosts), count, false, random);
-    return planned;
-}
-
 auto HostCensus::planSpread(std::size_t near, std::size_t far, base::Random &random, absl::Time now) const -> std::vector<PlannedReport>
 {
     auto byDataCentre = std::map<std::string, std::vector<HostRecord>>();
--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -92,8 +92,8 @@
     auto readCatalogue() -> void;
     auto watchCatalogue() -> void;
     auto readLeafs() -> void;
-    auto readChanges() -> void;
-    auto readCurrentChanges() -> void;
+    /// Reads the changes with a current read if `fresh`, else with a cheap one.
+    auto readChanges(bool fresh) -> void;
     auto onCatalogueReply(const DocumentReply &reply) -> void;
     auto onCatalogueChanges(const DocumentReply &reply) -> void;
     auto onLeafsReply(const DocumentReply &reply) -> void;
@@ -109,6 +109,8 @@
     [[nodiscard]] auto currentReadView() const -> CurrentReadView;
     /// Records the revision that a current read, sent at `sentAt`, returned.
     auto noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void;
+    /// Records a statement, and tells other hosts if it is new to this one.
+    auto record(const census::RevisionStatement &statement, bool ownRead) -> void;
     /// Schedules the next read of changes or leafs: at once if a service lacks leafs.
     auto scheduleNextRead() -> void;
     /// Runs a scheduled read at once if a service lacks leafs. Otherwise, when a new set of shards comes into force while cheap reads are stale, each query for
--- a/packages/gateway/src/document_follower.cpp
+++ b/packages/gateway/src/document_follower.cpp
@@ -53,16 +53,18 @@
 
 auto DocumentFollower::noteStatement(const census::RevisionStatement &statement) -> void
 {
-    if (this->statements.record(statement, this->settings.currentReads.interval / 2) && this->peers.spread) {
-        this->peers.spread(statement, false);
-    }
+    this->record(statement, false);
 }
 
 auto DocumentFollower::noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void
 {
-    const auto statement = census::RevisionStatement{.reader = this->peers.reader, .read = ++this->ownReads, .revision = revision, .currentAt = sentAt};
+    this->record({.reader = this->peers.reader, .read = ++this->ownReads, .revision = revision, .currentAt = sentAt}, true);
+}
+
+auto DocumentFollower::record(const census::RevisionStatement &statement, bool ownRead) -> void
+{
     if (this->statements.record(statement, this->settings.currentReads.interval / 2) && this->peers.spread) {
-        this->peers.spread(statement, true);
+        this->peers.spread(statement, ownRead);
     }
 }
 
@@ -121,29 +123,19 @@
                                  });
 }
 
-auto DocumentFollower::readChanges() -> void
+auto DocumentFollower::readChanges(bool fresh) -> void
 {
     ++this->callsMade;
-    this->directory.expire(base::monotonicNow());
-    this->store.changes(this->revision, false, this->settings.timeout, [this, alive = this->alive](const DocumentReply &reply) {
-        if (*alive) {
-            this->onChangesReply(reply);
-        }
-    });
-}
-
-auto DocumentFollower::readCurrentChanges() -> void
-{
-    ++this->callsMade;
-    ++this->currentReadsMade;
-    this->directory.expire(base::monotonicNow());
-    this->store.changes(this->revision, true, this->settings.timeout, [this, alive = this->alive, sentAt = base::monotonicNow()](const DocumentReply &reply) {
+    this->currentReadsMade += fresh ? 1 : 0;
+    const auto sentAt = base::monotonicNow();
+    this->directory.expire(sentAt);
+    this->store.changes(this->revision, fresh, this->settings.timeout, [this, alive = this->alive, fresh, sentAt](const DocumentReply &reply) {
         if (!*alive) {
             return;
         }
-        if (reply.outcome == DocumentReply::Outcome::Ok) {
+        if (fresh && reply.outcome == DocumentReply::Outcome::Ok) {
             this->noteCurrentRead(reply.revision, sentAt);
-        } else if (reply.outcome == DocumentReply::Outcome::HistoryLost) {
+        } else if (fresh && reply.outcome == DocumentReply::Outcome::HistoryLost) {
             // A cheap listing may be older than the history reaches: the current read after it would fail in the same way.
             this->listingFresh = true;
         }
@@ -278,9 +270,9 @@
                                 {"stated_ms_ago", absl::ToInt64Milliseconds(now - view.statedAt)},
                                 {"revision", this->revision}});
             }
-            this->readCurrentChanges();
+            this->readChanges(true);
         } else if (now >= this->lastReadAt + this->settings.interval) {
-            this->readChanges();
+            this->readChanges(false);
         } else {
             this->scheduleNextRead();
         }
--- a/packages/http/tests/raw_socket.cpp
+++ b/packages/http/tests/raw_socket.cpp
@@ -31,9 +31,12 @@
 
 } // namespace
 
-auto connectTo(std::uint16_t port) -> int
+auto connectTo(std::uint16_t port, int receiveBuffer) -> int
 {
     const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBuffer > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    }
     auto address = sockaddr_in{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
--- a/packages/http/tests/raw_socket.h
+++ b/packages/http/tests/raw_socket.h
@@ -6,8 +6,9 @@
 
 namespace tamarackspan::http::test {
 
-/// Opens a blocking connection to a loopback port; returns -1 if it is refused.
-auto connectTo(std::uint16_t port) -> int;
+/// Opens a blocking connection to a loopback port; returns -1 if it is refused. With `receiveBuffer` the system's buffer for received bytes has about that
+/// size, or the least that the system allows.
+auto connectTo(std::uint16_t port, int receiveBuffer = 0) -> int;
 
 /// Sends all bytes, or as many as possible before the connection fails.
 auto sendAll(int fd, std::string_view bytes) -> void;
--- a/packages/http/tests/stream_drain_test.cpp
+++ b/packages/http/tests/stream_drain_test.cpp
@@ -7,11 +7,8 @@
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <memory>
-#include <netinet/in.h>
 #include <string>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace {
@@ -22,20 +19,6 @@
 /// Larger than one read, smaller than the system's buffers of one connection.
 constexpr auto largeBody = std::size_t{150'000};
 
-/// Opens a connection whose buffer for received bytes is as small as the system allows, so that most of a large response waits at its sender.
-auto connectWithSmallBuffer(std::uint16_t port) -> int
-{
-    const auto fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto bytes = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    auto address = sockaddr_in{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
-    return fd;
-}
-
 /// A draining server that closes idle connections all the time, as a stopping host does.
 struct DrainingServerTest : ::testing::Test
 {
@@ -82,7 +65,8 @@
 {
     this->drain();
     for (auto round = 0; round < 20; ++round) {
-        const auto fd = connectWithSmallBuffer(this->port);
+        // The smallest buffer, so that most of the response waits at the server.
+        const auto fd = test::connectTo(this->port, 1);
         test::sendAll(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
         absl::SleepFor(absl::Milliseconds(20));
         test::sendAll(fd, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
