Fetch a listed document at once when this host becomes a watcher

An integration run failed: a rate wasn't in force within 15 s after one watcher of the contracts was killed and the other paused.

Cause: a host that doesn't watch leaves a listed document to its peers for 10 to 30 s, and that time was fixed when it was listed. Hosts that listed the change just before they became watchers went on waiting for each other. The same delay applied where the watchers couldn't read the platform.

Fix: whether a document is left to a peer is decided each time, from who watches now and since when the prefix is unwatched.

--- a/packages/configuration/include/tamarackspan/configuration/read_plan.h
+++ b/packages/configuration/include/tamarackspan/configuration/read_plan.h
@@ -34,7 +34,7 @@
     /// unwatched.
     absl::Duration fallbackInterval = absl::Seconds(10);
     /// How long a host that doesn't watch a prefix waits for a peer to send a document that the platform lists before it fetches the document itself; jittered
-    /// between a third and the whole.
+    /// between a third and the whole. Ends early once the host watches the prefix, or nobody does.
     absl::Duration peerGrace = absl::Seconds(30);
     /// The first list calls of a starting host are spread over this time, so that hosts started together don't call the platform at the same moment.
     absl::Duration startJitter = absl::Seconds(2);
@@ -43,7 +43,7 @@
     /// A prefix not confirmed for the time of a watch call plus this is considered unwatched, and every host reads it. Each host uses its own jittered value
     /// between half and the whole.
     absl::Duration unwatchedAfter = absl::Seconds(4);
-    /// Replaces peerGrace for unwatched prefixes; jittered between zero and the whole.
+    /// Replaces peerGrace for unwatched prefixes, from when they became so; jittered between zero and the whole.
     absl::Duration unwatchedGrace = absl::Seconds(1);
     /// How long a starting host waits for the platform and for peers before it serves with the configuration that it has.
     absl::Duration startWait = absl::Seconds(5);
@@ -114,9 +114,14 @@
 {
     base::Revision revision;
     std::size_t prefix = 0;
+    /// When the platform listed the revision for the first time.
+    absl::Time listedAt;
+    /// Jitters how long a peer may take to send the value: from 0 to 1.
+    double jitter = 0;
     bool calling = false;
     absl::Time callDeadline;
-    absl::Time notBefore;
+    /// The end of the backoff after a failed fetch.
+    absl::Time notBefore = absl::InfinitePast();
     std::uint32_t failures = 0;
 };
 
--- a/packages/configuration/src/read_plan.cpp
+++ b/packages/configuration/src/read_plan.cpp
@@ -12,9 +12,15 @@
 constexpr auto half = 0.5;
 constexpr auto third = 1.0 / 3;
 
+/// Returns a time between that fraction of the whole and the whole, for a jitter from 0 to 1.
+auto jitteredBy(double jitter, absl::Duration whole, double minFraction) -> absl::Duration
+{
+    return whole * (minFraction + (1 - minFraction) * jitter);
+}
+
 auto jittered(base::Random &random, absl::Duration whole, double minFraction) -> absl::Duration
 {
-    return whole * (minFraction + (1 - minFraction) * random.unit());
+    return jitteredBy(random.unit(), whole, minFraction);
 }
 
 auto backoffAfter(ReadPlan &plan, std::uint32_t failures) -> absl::Duration
@@ -37,11 +43,10 @@
     return now - plan.peerHeardAt.value_or(plan.startedAt) >= plan.settings.peerTimeout;
 }
 
-/// Returns whether the prefix has gone unconfirmed for so long that no host seems to watch it.
-auto isUnwatched(const ReadPlan &plan, const PrefixReading &reading, absl::Time now) -> bool
+/// Returns when the prefix will have gone unconfirmed for so long that no host seems to watch it.
+auto unwatchedFrom(const ReadPlan &plan, const PrefixReading &reading) -> absl::Time
 {
-    const auto whole = plan.settings.watchWait + plan.settings.callTimeout + plan.unwatchedOffset;
-    return now - reading.confirmedAt.value_or(plan.startedAt) >= whole;
+    return reading.confirmedAt.value_or(plan.startedAt) + plan.settings.watchWait + plan.settings.callTimeout + plan.unwatchedOffset;
 }
 
 auto failPrefix(ReadPlan &plan, PrefixReading &reading, absl::Time now) -> void
@@ -111,13 +116,25 @@
 auto planLists(ReadPlan &plan, absl::Time now, std::vector<ReadAction> &actions) -> void
 {
     for (auto &reading : plan.prefixes) {
-        const auto wanted = reading.watched || !reading.everListed || peersUnreachable(plan, now) || isUnwatched(plan, reading, now);
+        const auto wanted = reading.watched || !reading.everListed || peersUnreachable(plan, now) || now >= unwatchedFrom(plan, reading);
         if (wanted && !reading.calling && now >= reading.notBefore && mayCall(plan, now, reservedBy(plan, reading))) {
             actions.emplace_back(startList(plan, reading, now));
         }
     }
 }
 
+/// Returns whether a listed value is left to a peer that watches its prefix. Decided anew each time, since the watchers may have changed.
+auto awaitsPeer(const ReadPlan &plan, const PendingValue &value, absl::Time now) -> bool
+{
+    const auto &reading = plan.prefixes[value.prefix];
+    if (reading.watched || value.failures > 0 || peersUnreachable(plan, now)) {
+        return false;
+    }
+    const auto byPeer = value.listedAt + jitteredBy(value.jitter, plan.settings.peerGrace, third);
+    const auto unwatched = std::max(value.listedAt, unwatchedFrom(plan, reading)) + jitteredBy(value.jitter, plan.settings.unwatchedGrace, 0);
+    return now < std::min(byPeer, unwatched);
+}
+
 auto planFetches(ReadPlan &plan, absl::Time now, std::vector<ReadAction> &actions) -> void
 {
     auto running = std::count_if(plan.pending.begin(), plan.pending.end(), [](const auto &entry) {
@@ -127,7 +144,7 @@
         if (running >= plan.settings.maxConcurrentFetches) {
             return;
         }
-        const auto due = now >= value.notBefore || (value.failures == 0 && peersUnreachable(plan, now));
+        const auto due = now >= value.notBefore && !awaitsPeer(plan, value, now);
         if (!value.calling && due && mayCall(plan, now)) {
             value.calling = true;
             value.callDeadline = now + plan.settings.callTimeout;
@@ -137,30 +154,18 @@
     }
 }
 
-/// Returns how long to wait for a peer to send a newly listed value before fetching it.
-auto fetchDelay(ReadPlan &plan, const PrefixReading &reading, absl::Time now) -> absl::Duration
-{
-    if (reading.watched) {
-        return absl::ZeroDuration();
-    }
-    if (isUnwatched(plan, reading, now)) {
-        return jittered(plan.random, plan.settings.unwatchedGrace, 0);
-    }
-    return jittered(plan.random, plan.settings.peerGrace, third);
-}
-
 auto addPending(ReadPlan &plan, std::size_t prefix, const ListedKey &listed, absl::Time now) -> void
 {
     auto &value = plan.pending[listed.key];
     if (value.revision >= listed.revision) {
         return;
     }
-    const auto isNew = value.revision == base::Revision();
+    if (value.revision == base::Revision()) {
+        value.listedAt = now;
+        value.jitter = plan.random.unit();
+    }
     value.revision = listed.revision;
     value.prefix = prefix;
-    if (isNew) {
-        value.notBefore = now + fetchDelay(plan, plan.prefixes[prefix], now);
-    }
 }
 
 auto hasPending(const ReadPlan &plan, std::size_t prefix) -> bool
--- a/packages/configuration/tests/read_plan_test.cpp
+++ b/packages/configuration/tests/read_plan_test.cpp
@@ -484,6 +484,69 @@
     EXPECT_TRUE(isFetchedDespiteConstantHostListReads({}));
 }
 
+/// The plan of a host of four that doesn't watch the contracts, has listed a change of one, and waits for a peer to send it. All peers are reachable.
+struct WaitingHost
+{
+    explicit WaitingHost(std::uint64_t seed)
+    {
+        this->store.dataCentre = base::DataCentre("a");
+        this->plan = makeReadPlan({}, this->store.dataCentre, seed, this->now);
+        for (const auto *name : {"h1", "h2", "h3", "h4"}) {
+            this->hosts.emplace_back(name);
+        }
+        this->watchers = chooseWatchers("contracts/", this->hosts, watchersPerPrefix);
+        this->self = *std::find_if(this->hosts.begin(), this->hosts.end(), [this](const base::HostId &host) {
+            return std::find(this->watchers.begin(), this->watchers.end(), host) == this->watchers.end();
+        });
+        setHosts(this->plan, this->hosts, this->self);
+        onListed(this->plan, this->store, "contracts/", base::Revision(2), {{"contracts/x", base::Revision(2)}}, this->now);
+    }
+
+    /// Returns how long it takes until the host fetches the change, at most `limit`; peers are heard all the time and have other documents.
+    [[nodiscard]] auto fetchedAfter(absl::Duration limit) -> absl::Duration
+    {
+        const auto begun = this->now;
+        for (; this->now - begun < limit; this->now += step) {
+            onPeerDigest(this->plan, {this->store.dataCentre, {}, base::Revision(2), {}}, false, this->now);
+            for (const auto &action : planReads(this->plan, this->store, this->now)) {
+                if (std::holds_alternative<FetchValue>(action)) {
+                    return this->now - begun;
+                }
+            }
+        }
+        return limit;
+    }
+
+    absl::Time now = absl::UnixEpoch();
+    DocumentStore store;
+    ReadPlan plan;
+    std::vector<base::HostId> hosts;
+    std::vector<base::HostId> watchers;
+    base::HostId self;
+};
+
+// Guards against a change that is in force only after half a minute because all hosts that are left listed it before both watchers died.
+TEST(ReadPlan, AHostThatBecomesWatcherFetchesWhatItLeftToPeers)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 50; ++seed) {
+        auto host = WaitingHost(seed);
+        ASSERT_EQ(host.fetchedAfter(absl::Seconds(2)), absl::Seconds(2));
+        std::erase_if(host.hosts, [&host](const base::HostId &id) {
+            return std::find(host.watchers.begin(), host.watchers.end(), id) != host.watchers.end();
+        });
+        setHosts(host.plan, host.hosts, host.self);
+        EXPECT_EQ(host.fetchedAfter(absl::Seconds(30)), absl::ZeroDuration()) << "seed " << seed;
+    }
+}
+
+// Guards against the same delay where the watchers are reachable and can't read the platform.
+TEST(ReadPlan, AHostFetchesWhatItLeftToPeersOnceThePrefixIsUnwatched)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 50; ++seed) {
+        EXPECT_LT(WaitingHost(seed).fetchedAfter(absl::Seconds(30)), absl::Seconds(12)) << "seed " << seed;
+    }
+}
+
 TEST(ReadPlan, AnIsolatedHostReportsThatItsFreshnessIsNotConfirmed)
 {
     auto fleet = makeFleet(1);
