--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -122,10 +122,11 @@
     std::function<std::string(const CallerRequest &, const http::StreamMessage &)> commonPart;
     /// Returns the complete request to one leaf, which may work on it for `timeLeft`.
     std::function<std::string(std::string_view commonPart, const http::StreamMessage &, const LeafEntry &, absl::Duration timeLeft)> request;
-    /// Returns whether a response belongs to the request of that id.
+    /// Returns whether a response belongs to the request of that id. One that doesn't is neither an answer nor the leaf's word that it hasn't run the request.
     std::function<bool(std::string_view requestId, const http::StreamMessage &)> belongs;
     std::function<LeafReply(const http::StreamMessage &)> parseReply;
-    /// Returns what a response states about its leaf. The response may be one that came late and belongs to an earlier request.
+    /// Returns what a response states about its leaf. The response may be one that came late and belongs to an earlier request, but not one that belongs to
+    /// none.
     std::function<LeafNotice(const http::StreamMessage &)> parseNotice;
     /// Converts a leaf's response to the answer for the caller.
     std::function<http::StreamAnswer(http::StreamMessage)> relay;
--- a/packages/http/include/tamarackspan/http/stream_client.h
+++ b/packages/http/include/tamarackspan/http/stream_client.h
@@ -83,7 +83,7 @@
 };
 
 /// Sends HTTP/1.1 requests on one event loop's thread. Each request is sent at most once, and a connection carries one at a time. Connections are kept open for
-/// reuse; a connection that carried unexpected data is closed.
+/// reuse; a connection that carried unexpected data is closed, at the latest when it would carry the next request.
 class StreamClient
 {
 public:
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -33,6 +33,13 @@
 /// request.
 constexpr auto keepAliveMargin = absl::Milliseconds(700);
 
+/// Returns whether an idle connection is still open and has no unread bytes, which could only belong to no request.
+auto isQuiet(int fd) -> bool
+{
+    auto byte = char{0};
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 /// Returns the timeout of a Keep-Alive field such as "timeout=5, max=100".
 auto keepAliveTimeout(const StreamMessage &response) -> std::optional<absl::Duration>
 {
@@ -159,6 +166,10 @@
         while (!pool->waiting.empty() && !pool->idle.empty()) {
             const auto connection = pool->idle.back();
             pool->idle.pop_back();
+            if (!isQuiet(connection->fd)) {
+                this->close(connection, "closed, or unexpected data without a request");
+                continue;
+            }
             const auto call = pool->waiting.begin()->second;
             pool->waiting.erase(pool->waiting.begin());
             this->send(connection, call);
--- a/packages/http/tests/stream_test.cpp
+++ b/packages/http/tests/stream_test.cpp
@@ -297,6 +297,36 @@
     ::close(other);
 }
 
+// The bytes are in the system's buffer before the loop has seen them, so that the next response could be taken from them.
+TEST_F(StreamClientTest, SendsNothingOnAConnectionWithUnreadBytes)
+{
+    auto first = this->call("a");
+    const auto fd = this->accept();
+    std::ignore = test::readMessage(fd);
+    test::sendAll(fd, answerOf("a"));
+    EXPECT_EQ(first.get().outcome, CallOutcome::Answered);
+    auto done = std::promise<CallResult>();
+    this->thread.run([&] {
+        test::sendAll(fd, answerOf("b"));
+        absl::SleepFor(absl::Milliseconds(20));
+        std::ignore = this->client->call({.pool = "leaf",
+                                          .endpoint = {.ip = "127.0.0.1", .port = this->port},
+                                          .bytes = "GET /b HTTP/1.1\r\nHost: h\r\nId: b\r\n\r\n",
+                                          .timeout = absl::Seconds(8),
+                                          .onResult = [&done](CallResult result) {
+                                              done.set_value(std::move(result));
+                                          }});
+    });
+    const auto other = this->accept();
+    EXPECT_NE(test::readMessage(other).find("/b"), std::string::npos);
+    test::sendAll(other, answerOf("b", "Second: 1\r\n"));
+    const auto got = done.get_future().get();
+    EXPECT_EQ(got.outcome, CallOutcome::Answered);
+    EXPECT_NE(findHeader(got.response.headers, "Second"), nullptr);
+    ::close(fd);
+    ::close(other);
+}
+
 TEST_F(StreamClientTest, ReusesAConnectionAndNeverSendsTwice)
 {
     auto first = this->call("a");
