Bound a request by the limits in force when it begins

Cause: a connection's reader was created with the limits at its beginning and never got others. Sizes and timeouts are now taken when a message begins, and one that has begun keeps them. Hosts accept forwarded queries up to the largest limits so far.

--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -40,6 +40,8 @@
 constexpr auto stopCheckInterval = absl::Milliseconds(50);
 /// How often unresponsive data centres are checked: a fraction of the time after which missing answers count.
 constexpr auto reachCheckInterval = absl::Milliseconds(50);
+/// Maximum size of the header fields that a host adds to a forwarded query.
+constexpr auto forwardedFieldBytes = std::size_t{1024};
 constexpr auto cannotServe = 4;
 
 /// The write end of the pipe through which signals reach the loop; written by the handler only.
@@ -413,6 +415,10 @@
                                       .idleTimeout = limits.idleTimeout});
         this->gateway.setCatalogue(std::move(catalogue));
     }
+        // Another host forwards what its own catalogue allows, which may be an earlier or a later one, with some fields of its own.
+        this->neighbourLimits.headerBytes = std::max(this->neighbourLimits.headerBytes, limits.headerBytes + forwardedFieldBytes);
+        this->neighbourLimits.bodyBytes = std::max(this->neighbourLimits.bodyBytes, limits.bodyBytes);
+        this->neighbourServer.setLimits({.message = this->neighbourLimits});
 
     auto scheduleSettingsCheck() -> void
     {
@@ -523,6 +529,8 @@
 
 auto runGatewayHost(transport::EventLoop &loop, const GatewayHostSettings &settings, GatewayPorts ports) -> int
 {
+    /// The largest limits of all catalogues so far.
+    http::MessageLimits neighbourLimits{};
     auto pipe = std::array<int, 2>();
     if (::pipe2(pipe.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
         return cannotServe;
--- a/packages/http/include/tamarackspan/http/message_reader.h
+++ b/packages/http/include/tamarackspan/http/message_reader.h
@@ -64,6 +64,9 @@
     MessageReader(const MessageReader &) = delete;
     auto operator=(const MessageReader &) -> MessageReader & = delete;
 
+    /// Sets the limits of the messages that begin from now on; one that has begun keeps its own.
+    auto setLimits(MessageLimits limits) noexcept -> void;
+
     /// Parses bytes and returns how many of them belong to the message: all of them while the state is Reading, possibly fewer once it has changed.
     auto read(std::string_view bytes) -> std::size_t;
 
--- a/packages/http/include/tamarackspan/http/stream_server.h
+++ b/packages/http/include/tamarackspan/http/stream_server.h
@@ -89,7 +89,8 @@
     /// sent before or the sender has disconnected.
     auto acknowledge(ExchangeId exchange) -> void;
 
-    /// Sets the limits for everything read from now on.
+    /// Sets the limits of the requests that begin from now on, on open connections too. A request that has begun keeps the limits and timeouts that were in
+    /// force then; a connection without a request is bound by the new idle timeout.
     auto setLimits(StreamServerLimits limits) -> void;
 
     /// Sets whether each response from now on closes its connection, unless the caller has sent further requests ahead. Idle connections stay open, since a
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -18,7 +18,9 @@
 struct MessageReader::Core
 {
     Kind kind;
+    /// Of the current message, and of those that begin from now on.
     MessageLimits limits;
+    MessageLimits nextLimits;
     http_parser parser{};
     State state = State::Idle;
     StreamMessage message{};
@@ -34,7 +36,8 @@
 
     Core(Kind kind, MessageLimits limits)
         : kind(kind),
-          limits(limits)
+          limits(limits),
+          nextLimits(limits)
     {
         this->restart();
     }
@@ -174,12 +177,18 @@
 MessageReader::MessageReader(MessageReader &&) noexcept = default;
 auto MessageReader::operator=(MessageReader &&) noexcept -> MessageReader & = default;
 
+auto MessageReader::setLimits(MessageLimits limits) noexcept -> void
+{
+    this->core->nextLimits = limits;
+}
+
 auto MessageReader::read(std::string_view bytes) -> std::size_t
 {
     auto &core = *this->core;
     auto used = std::size_t{0};
     if (core.state == State::Idle && !bytes.empty()) {
         core.state = State::Reading;
+        core.limits = core.nextLimits;
     }
     while (core.state == State::Reading && used < bytes.size()) {
         used += http_parser_execute(&core.parser, &Core::settings(), bytes.data() + used, bytes.size() - used);
--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -80,6 +80,9 @@
         absl::Time lastSentAt = absl::InfiniteFuture();
         /// Bytes of the request that is being read.
         std::size_t buffered = 0;
+        /// The timeouts that were in force when the request that is being read began.
+        absl::Duration headerTimeout = absl::InfiniteDuration();
+        absl::Duration idleTimeout = absl::InfiniteDuration();
         absl::Time since;
         absl::Time lastByte;
         std::uint32_t watched = EPOLLIN | EPOLLRDHUP;
@@ -188,6 +191,9 @@
     {
         if (connection->reader.state() == MessageReader::State::Idle) {
             connection->since = connection->lastByte;
+            connection->reader.setLimits(this->limits.message);
+            connection->headerTimeout = this->limits.headerTimeout;
+            connection->idleTimeout = this->limits.idleTimeout;
         }
         const auto used = connection->reader.read(bytes);
         connection->readAhead.append(bytes.substr(used));
@@ -360,8 +366,8 @@
                 continue;
             }
             const auto reading = connection->reader.state() == MessageReader::State::Reading;
-            const auto slowHeaders = reading && !connection->reader.headersComplete() && now - connection->since > this->limits.headerTimeout;
-            const auto stalled = now - connection->lastByte > this->limits.idleTimeout;
+            const auto slowHeaders = reading && !connection->reader.headersComplete() && now - connection->since > connection->headerTimeout;
+            const auto stalled = now - connection->lastByte > (reading ? connection->idleTimeout : this->limits.idleTimeout);
             const auto lingering = now - connection->lastSentAt > lingerTimeout;
             if (slowHeaders || stalled || lingering) {
                 expired.push_back(connection);
