Refuse messages that two readers can take differently

A field name with a space before its colon was accepted and passed on. So were bare line feeds, folded lines, other spellings of the version, chunk data without its CRLF, and unknown transfer codings: the parser library is built leniently.

Lines, fields and chunks are now checked against the grammar of RFC 9112 beside the parser. Callers get 400 before a leaf is asked. The parser's process-wide limit on a head is lifted in favour of the message's own.

--- a/packages/http/include/tamarackspan/http/message_reader.h
+++ b/packages/http/include/tamarackspan/http/message_reader.h
@@ -36,7 +36,8 @@
     friend auto operator==(const MessageLimits &, const MessageLimits &) -> bool = default;
 };
 
-/// Parses HTTP/1.1 messages of one direction from the bytes of a connection. Does no input or output itself.
+/// Parses HTTP/1.1 messages of one direction from the bytes of a connection. Does no input or output itself. A message whose lines, fields or framing two
+/// readers could take differently is malformed (RFC 9112).
 class MessageReader
 {
 public:
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -39,18 +39,19 @@
 {
     auto kept = Headers();
     kept.reserve(headers.size());
-    const auto *const connection = findHeader(headers, "Connection");
+    const auto isNamed = [&headers](const Header &header) {
+        return std::ranges::any_of(headers, [&header](const Header &connection) {
+            return absl::EqualsIgnoreCase(connection.name, "Connection")
+                && std::ranges::any_of(std::vector<absl::string_view>(absl::StrSplit(connection.value, ',')), [&header](absl::string_view option) {
+                       return absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(option), header.name);
+                   });
+        });
+    };
     for (const auto &header : headers) {
         const auto known = std::ranges::any_of(hopByHop, [&header](const char *name) {
             return absl::EqualsIgnoreCase(name, header.name);
         });
-        auto named = false;
-        if (connection != nullptr && !known) {
-            for (const auto part : absl::StrSplit(*connection, ',')) {
-                named = named || absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part), header.name);
-            }
-        }
-        if (!known && !named) {
+        if (!known && !isNamed(header)) {
             kept.push_back(header);
         }
     }
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -1,5 +1,8 @@
 #include "tamarackspan/http/message_reader.h"
 
+#include "impl/message_syntax.h"
+
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 
 #include <http_parser.h>
@@ -12,6 +15,11 @@
 
 /// Maximum number of interim responses before a response; a sender of more is treated as faulty, since they could go on without end.
 constexpr auto maxInterimResponses = std::uint32_t{32};
+/// A limit on the bytes of names and values allows this many times as many bytes of lines, and a few more: a field of one byte takes four with its separators.
+constexpr auto lineBytesPerHeaderByte = std::size_t{4};
+constexpr auto extraLineBytes = std::size_t{4096};
+/// The parser's own limit, which holds for all messages of the process; those of the messages are checked here.
+constexpr auto maxParserBytes = std::uint32_t{1} << 30U;
 
 } // namespace
 
@@ -22,6 +30,7 @@
     MessageLimits limits;
     MessageLimits nextLimits;
     http_parser parser{};
+    impl::MessageSyntax syntax;
     State state = State::Idle;
     StreamMessage message{};
     std::size_t headerBytes = 0;
@@ -37,7 +46,8 @@
     Core(Kind kind, MessageLimits limits)
         : kind(kind),
           limits(limits),
-          nextLimits(limits)
+          nextLimits(limits),
+          syntax(kind == Kind::Request)
     {
         this->restart();
     }
@@ -46,6 +56,7 @@
     {
         http_parser_init(&this->parser, this->kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
         this->parser.data = this;
+        this->syntax = impl::MessageSyntax(this->kind == Kind::Request);
         this->state = State::Idle;
         this->message = {};
         this->headerBytes = 0;
@@ -106,6 +117,14 @@
     {
         auto &core = self(parser);
         core.headersDone = true;
+        for (auto &header : core.message.headers) {
+            absl::StripTrailingAsciiWhitespace(&header.value);
+        }
+        const auto isKnownVersion = parser->http_major == 1 && parser->http_minor <= 1;
+        if (!isKnownVersion || !impl::hasClearFraming(core.message.headers, parser->http_minor)) {
+            core.state = State::Malformed;
+            return -1;
+        }
         core.message.keepAlive = http_should_keep_alive(parser) != 0;
         if (core.kind == Kind::Request) {
             core.message.method = http_method_str(static_cast<http_method>(parser->method));
@@ -154,6 +173,7 @@
     static auto settings() -> const http_parser_settings &
     {
         static const auto value = [] {
+            http_parser_set_max_header_size(maxParserBytes);
             auto made = http_parser_settings{};
             http_parser_settings_init(&made);
             made.on_url = &onUrl;
@@ -191,8 +211,14 @@
         core.limits = core.nextLimits;
     }
     while (core.state == State::Reading && used < bytes.size()) {
-        used += http_parser_execute(&core.parser, &Core::settings(), bytes.data() + used, bytes.size() - used);
-        if (core.interim && HTTP_PARSER_ERRNO(&core.parser) == HPE_PAUSED) {
+        const auto parsed = http_parser_execute(&core.parser, &Core::settings(), bytes.data() + used, bytes.size() - used);
+        const auto isClear = core.syntax.check(bytes.substr(used, parsed), (core.parser.flags & F_CHUNKED) != 0);
+        used += parsed;
+        if (!isClear && (core.state == State::Reading || core.state == State::Complete)) {
+            core.state = State::Malformed;
+        } else if (core.state == State::Reading && core.syntax.lineBytes() > lineBytesPerHeaderByte * core.limits.headerBytes + extraLineBytes) {
+            core.state = State::HeadersTooLarge;
+        } else if (core.interim && HTTP_PARSER_ERRNO(&core.parser) == HPE_PAUSED) {
             core.restart();
             core.interimPassed = true;
             core.state = ++core.interimCount > maxInterimResponses ? State::Malformed : State::Reading;
