Compare host names without case and serve absolute targets

A request for another case of a host name got 404, one with an absolute target 400. RFC 9110 compares host names without case; RFC 9112 has servers accept absolute targets, whose host replaces the Host field. The reader converts them.

--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -23,6 +23,7 @@
 {
     /// Identifies one attempt of the caller; empty if it gave none.
     std::string id{};
+    /// In lower case, without a port.
     std::string hostName{};
     /// Without the query part.
     std::string path{};
--- a/packages/http/include/tamarackspan/http/message_reader.h
+++ b/packages/http/include/tamarackspan/http/message_reader.h
@@ -13,7 +13,8 @@
 /// One HTTP/1.1 message as received on a connection.
 struct StreamMessage
 {
-    /// For a request: the method's name and the target as sent, still percent-encoded.
+    /// For a request: the method's name, and the target as sent, still percent-encoded; an absolute target is converted to its origin form, and the host that
+    /// it names replaces the Host field.
     std::string method{};
     std::string target{};
     /// For a response.
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "tamarackspan/http/message_reader.h"
 
 #include "impl/message_syntax.h"
+#include "impl/request_target.h"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -128,7 +129,7 @@
         core.message.keepAlive = http_should_keep_alive(parser) != 0;
         if (core.kind == Kind::Request) {
             core.message.method = http_method_str(static_cast<http_method>(parser->method));
-            if (parser->method == HTTP_CONNECT) {
+            if (parser->method == HTTP_CONNECT || !impl::toOriginForm(core.message)) {
                 core.state = State::Malformed;
                 return -1;
             }
--- a/packages/http/tests/message_syntax_test.cpp
+++ b/packages/http/tests/message_syntax_test.cpp
@@ -129,6 +129,28 @@
     EXPECT_EQ(stateAfter(Kind::Response, "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok"), State::Complete);
 }
 
+TEST(MessageSyntax, AnAbsoluteTargetIsServedAsItsOriginForm)
+{
+    const auto read = [](const std::string &target) {
+        auto reader = MessageReader(Kind::Request, {});
+        reader.read("GET " + target + " HTTP/1.1\r\nhost: other\r\n\r\n");
+        return reader.state() == State::Complete ? std::optional(reader.take()) : std::nullopt;
+    };
+    for (const auto &[target, origin] : std::vector<std::pair<std::string, std::string>>{
+             {"http://h.example:80/a?b", "/a?b"}, {"HTTPS://h.example:80/a", "/a"}, {"http://h.example:80", "/"}, {"http://h.example:80?b", "/?b"}}) {
+        const auto message = read(target);
+        ASSERT_TRUE(message.has_value()) << target;
+        EXPECT_EQ(message->target, origin);
+        EXPECT_EQ(message->headers, (Headers{{"host", "h.example:80"}}));
+    }
+    EXPECT_EQ(read("/a")->headers, (Headers{{"host", "other"}}));
+    for (const auto *const target : {"http:///a", "http://", "http://user@h/a"}) {
+        EXPECT_FALSE(read(target).has_value()) << target;
+    }
+    EXPECT_EQ(stateAfter(Kind::Request, "GET http://h/ HTTP/1.1\r\n\r\n"), State::Malformed);
+    EXPECT_EQ(stateAfter(Kind::Request, "GET http://h/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"), State::Malformed);
+}
+
 /// Reads requests by the letter of RFC 9112, from the whole text at once, without the parser of the product.
 struct PlainReader
 {
