Answer HEAD without a body, and wait for none

A leaf's answer to HEAD states a length and has no body, so the host waited until the deadline; callers got a body with HEAD. 204 and 304 with a length likewise.

The reader is told which response answers HEAD; the length that it states is passed on without a body.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -61,6 +61,11 @@
 /// Retry time after a refusal because data centres are cut off: by then the balancer has missed two checks a second apart and sends callers elsewhere.
 constexpr auto cutOffRetryAfter = absl::Milliseconds(2100);
 
+auto isHead(const http::StreamMessage &message) -> bool
+{
+    return message.method == "HEAD";
+}
+
 /// Returns the name of the connection pool for another host.
 auto neighbourPool(const std::string &host) -> std::string
 {
@@ -247,6 +252,7 @@
             .pool = neighbourPool(host.name),
             .endpoint = {.ip = host.ip, .port = this->settings.neighbourPort},
             .bytes = forwardedRequest(work->message, work->timeReserve + (now - work->arrivedAt), work->attemptsElsewhere),
+            .isHead = isHead(work->message),
             .maxConnections = neighbourConnections,
             .onSent =
                 [work] {
@@ -307,9 +313,11 @@
         }
         if (answered && result.response.status < 300) {
             this->end(work, "answered by another host", work->resolved->state->answered);
-            work->server->answer(
-                work->exchange,
-                {.status = result.response.status, .headers = http::endToEndHeaders(result.response.headers), .body = std::move(result.response.body)});
+            work->server->answer(work->exchange,
+                                 {.status = result.response.status,
+                                  .headers = http::endToEndHeaders(result.response.headers),
+                                  .body = std::move(result.response.body),
+                                  .omittedLength = result.response.omittedLength});
             return;
         }
         this->log.info("another host didn't answer a query",
@@ -589,6 +597,7 @@
             .pool = leaf->pool,
             .endpoint = leaf->entry.endpoint,
             .bytes = this->leafs.request(work->common, work->message, leaf->entry, timeLeft),
+            .isHead = isHead(work->message),
             .rank = work->operation().priority,
             .maxConnections = share.connections,
             .idleTimeout = share.idleTimeout,
--- a/packages/http/include/tamarackspan/http/message_reader.h
+++ b/packages/http/include/tamarackspan/http/message_reader.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
     Headers headers{};
     /// With the transfer coding already decoded.
     std::string body{};
+    /// The length that a response without a body states for the body that it leaves out: one to a HEAD request, or with status 304.
+    std::optional<std::uint64_t> omittedLength{};
     /// Whether the connection may carry another message after this one.
     bool keepAlive = false;
 
@@ -72,6 +75,9 @@
     /// Parses bytes and returns how many of them belong to the message: all of them while the state is Reading, possibly fewer once it has changed.
     auto read(std::string_view bytes) -> std::size_t;
 
+    /// Sets whether the next response has no body whatever its header fields say, as the response to a HEAD request.
+    auto expectNoBody(bool expect) noexcept -> void;
+
     /// Signals that the sender has closed its side in an orderly way; this completes a response without a length.
     auto endOfStream() -> void;
 
--- a/packages/http/include/tamarackspan/http/stream_client.h
+++ b/packages/http/include/tamarackspan/http/stream_client.h
@@ -64,6 +64,8 @@
     transport::Endpoint endpoint{};
     /// Request line, header fields and body.
     std::string bytes{};
+    /// Whether it is a HEAD request, whose response has no body.
+    bool isHead = false;
     /// Calls with a lower rank get a free connection first; within a rank, the older call does.
     std::uint32_t rank = 0;
     /// The maximum number of open connections of the pool.
--- a/packages/http/include/tamarackspan/http/stream_server.h
+++ b/packages/http/include/tamarackspan/http/stream_server.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace tamarackspan::http {
@@ -29,12 +30,14 @@
     friend auto operator==(const RequestOrigin &, const RequestOrigin &) -> bool = default;
 };
 
-/// A response of a stream server. Content-Length and Connection are added by the server.
+/// A response of a stream server. Content-Length and Connection are added by the server. The response to a HEAD request is sent without its body.
 struct StreamAnswer
 {
     std::uint32_t status = 200;
     Headers headers{};
     std::string body{};
+    /// The length stated in place of the body's, for a response that is sent without one; see StreamMessage::omittedLength.
+    std::optional<std::uint64_t> omittedLength{};
     /// Closes the connection after this response.
     bool close = false;
 
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -43,6 +43,8 @@
     std::uint32_t interimCount = 0;
     /// The body ends with the connection, since the response has no length.
     bool endsWithConnection = false;
+    /// The next response has no body, since it answers a HEAD request.
+    bool answersHead = false;
 
     Core(Kind kind, MessageLimits limits)
         : kind(kind),
@@ -126,6 +128,11 @@
             core.state = State::Malformed;
             return -1;
         }
+        const auto bodyless = core.kind == Kind::Response && (core.answersHead || isBodyless(parser->status_code));
+        if (bodyless) {
+            // Otherwise the parser takes a response without a length for one that ends with its connection.
+            parser->flags |= F_SKIPBODY;
+        }
         core.message.keepAlive = http_should_keep_alive(parser) != 0;
         if (core.kind == Kind::Request) {
             core.message.method = http_method_str(static_cast<http_method>(parser->method));
@@ -139,15 +146,17 @@
         }
         core.message.status = parser->status_code;
         core.interim = parser->status_code >= 100 && parser->status_code < 200;
-        core.endsWithConnection = !core.interim && needsEndOfStream(*parser);
+        core.endsWithConnection = !bodyless && (parser->flags & F_CHUNKED) == 0 && parser->content_length == UINT64_MAX;
         parser->upgrade = 0;
-        return 0;
+        if (bodyless && parser->content_length != UINT64_MAX) {
+            core.message.omittedLength = parser->content_length;
+        }
+        return bodyless ? 1 : 0;
     }
 
-    static auto needsEndOfStream(const http_parser &parser) -> bool
+    static auto isBodyless(std::uint32_t status) -> bool
     {
-        const auto bodyless = parser.status_code == 204 || parser.status_code == 304;
-        return !bodyless && (parser.flags & F_CHUNKED) == 0 && parser.content_length == UINT64_MAX;
+        return status < 200 || status == 204 || status == 304;
     }
 
     static auto onBody(http_parser *parser, const char *at, std::size_t size) -> int
@@ -230,6 +239,11 @@
     return used;
 }
 
+auto MessageReader::expectNoBody(bool expect) noexcept -> void
+{
+    this->core->answersHead = expect;
+}
+
 auto MessageReader::endOfStream() -> void
 {
     auto &core = *this->core;
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -225,6 +225,7 @@
         if (call->call.onSent) {
             call->call.onSent();
         }
+        connection->reader.expectNoBody(call->call.isHead);
         connection->output = {};
         connection->output.append(call->call.bytes);
         call->call.bytes.clear();
--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -72,6 +72,8 @@
         /// The request in progress; 0 if there is none.
         ExchangeId exchange = 0;
         bool keepAlive = true;
+        /// Whether the request in progress is a HEAD request.
+        bool isHead = false;
         /// Whether "100 Continue" was sent for the current request.
         bool continueSent = false;
         RequestOrigin origin{.firstOnConnection = true};
@@ -245,6 +247,7 @@
         this->setBuffered(*connection, 0);
         auto message = connection->reader.take();
         connection->keepAlive = message.keepAlive;
+        connection->isHead = message.method == "HEAD";
         connection->exchange = ++this->lastExchange;
         this->exchanges.emplace(connection->exchange, connection);
         const auto origin = connection->origin;
@@ -255,6 +258,7 @@
     auto reject(const Shared &connection, std::uint32_t status) -> void
     {
         connection->keepAlive = false;
+        connection->isHead = false;
         connection->reader = MessageReader(MessageReader::Kind::Request, this->limits.message);
         this->setBuffered(*connection, 0);
         this->write(connection, StreamAnswer{.status = status, .close = true});
@@ -274,7 +278,10 @@
         for (const auto &header : answer.headers) {
             absl::StrAppend(&head, header.name, ": ", header.value, "\r\n");
         }
-        if (answer.status >= 200 && answer.status != 204 && answer.status != 304) {
+        const auto bodyless = connection->isHead || answer.status == 204 || answer.status == 304;
+        if (bodyless && answer.status != 204 && answer.omittedLength.has_value()) {
+            absl::StrAppend(&head, "Content-Length: ", *answer.omittedLength, "\r\n");
+        } else if (!bodyless || (connection->isHead && !answer.body.empty())) {
             absl::StrAppend(&head, "Content-Length: ", answer.body.size(), "\r\n");
         }
         if (!keep) {
@@ -283,7 +290,9 @@
         }
         head += "\r\n";
         connection->output.append(std::move(head));
-        connection->output.append(answer.body);
+        if (!bodyless) {
+            connection->output.append(answer.body);
+        }
         this->flush(connection);
     }
 
