Order a leaf's entries by the store's revision, not by its clock

A leaf that started again with its clock set back was taken for an earlier start of itself and never used again. Entries are now ordered by the revision at which the store wrote them; the time of the start only tells starts apart.

The tests of the directory gave entries no revision; they do now, and a report of an earlier start or a stale one is one that was written earlier. Each check is as it was.

Before: three of the directory's tests failed, among them the property over jumping clocks; after: all pass.

--- a/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
@@ -69,7 +69,7 @@
     /// The listener is called for each change, from within the calls below.
     explicit LeafDirectory(Listener listener);
 
-    /// Adds or updates the leaf that an entry names; an entry older than the known one is ignored.
+    /// Adds or updates the leaf that an entry names; an entry that was written before the known one is ignored.
     auto put(const LeafEntry &entry, absl::Time now) -> void;
 
     /// Removes a leaf: at once if `removalTime` has come, else at `removalTime` unless an entry arrives before that.
--- a/packages/gateway/include/tamarackspan/gateway/leaf_entry.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_entry.h
@@ -22,15 +22,18 @@
     bool draining = false;
     /// How much longer it answers slowly after its start.
     absl::Duration warmUp = absl::ZeroDuration();
-    /// Distinguishes starts under the same id, as Unix time in milliseconds; 0 if unknown.
+    /// Distinguishes starts under the same id, as Unix time in milliseconds by the leaf's own clock, which may have been set back between two starts; 0 if
+    /// unknown.
     std::int64_t startedAt = 0;
     /// Increases with each report since the start.
     std::uint64_t sequence = 0;
+    /// The store's revision at which the entry was written; orders all entries of a leaf, whatever its clock says.
+    std::uint64_t revision = 0;
 
     friend auto operator==(const LeafEntry &, const LeafEntry &) -> bool = default;
 };
 
-/// Returns whether `next` describes the same start of a leaf as `known`, with the same service and address.
-[[nodiscard]] auto isSameStart(const LeafEntry &known, const LeafEntry &next) -> bool;
+/// Returns whether two entries of a leaf describe the same start of it, with the same service and address.
+[[nodiscard]] auto isSameStart(const LeafEntry &one, const LeafEntry &other) -> bool;
 
 } // namespace tamarackspan::gateway
--- a/packages/gateway/src/leaf_directory.cpp
+++ b/packages/gateway/src/leaf_directory.cpp
@@ -20,9 +20,11 @@
     return !leaf.entry.draining && !leaf.saidLeaving && now >= leaf.backoffUntil;
 }
 
-auto isSameStart(const LeafEntry &known, const LeafEntry &next) -> bool
+auto isSameStart(const LeafEntry &one, const LeafEntry &other) -> bool
 {
-    return known.startedAt == next.startedAt && known.service == next.service && known.endpoint == next.endpoint;
+    // Reports count anew from each start, so that a later entry with a lower number is another start's, whatever the clocks say.
+    const auto countsOn = one.revision <= other.revision ? one.sequence <= other.sequence : other.sequence <= one.sequence;
+    return one.startedAt == other.startedAt && one.service == other.service && one.endpoint == other.endpoint && countsOn;
 }
 
 LeafDirectory::LeafDirectory(Listener listener)
@@ -33,12 +35,12 @@
 auto LeafDirectory::put(const LeafEntry &entry, absl::Time now) -> void
 {
     const auto found = this->byId.find(entry.id);
+    if (found != this->byId.end() && entry.revision < found->second->entry.revision) {
+        // From a stale read.
+        return;
+    }
     if (found != this->byId.end() && isSameStart(found->second->entry, entry)) {
         const auto leaf = found->second;
-        if (entry.sequence < leaf->entry.sequence) {
-            // From a stale read.
-            return;
-        }
         const auto changed = leaf->entry.slots != entry.slots || leaf->removeAt != absl::InfiniteFuture();
         const auto startsDraining = entry.draining && !leaf->entry.draining;
         leaf->entry = entry;
@@ -52,10 +54,6 @@
         return;
     }
     if (found != this->byId.end()) {
-        if (entry.startedAt < found->second->entry.startedAt) {
-            // A delayed report of an earlier start.
-            return;
-        }
         const auto before = found->second;
         this->byId.erase(found);
         this->detach(before);
@@ -150,7 +148,7 @@
 auto LeafDirectory::recordStatements(const KnownLeaf &leaf, absl::Time now) -> void
 {
     auto &start = this->statedStarts[leaf.entry.id];
-    if (leaf.entry.startedAt >= start.entry.startedAt) {
+    if (leaf.entry.revision >= start.entry.revision) {
         start = StatedStart{.entry = leaf.entry, .notedAt = now, .leaving = leaf.saidLeaving, .backoffUntil = leaf.backoffUntil};
     }
 }
@@ -163,7 +161,7 @@
     }
     const auto &start = found->second;
     const auto same = isSameStart(start.entry, leaf.entry);
-    leaf.saidLeaving = start.leaving && (same || leaf.entry.startedAt < start.entry.startedAt);
+    leaf.saidLeaving = start.leaving && (same || leaf.entry.revision < start.entry.revision);
     leaf.backoffUntil = same ? start.backoffUntil : absl::InfinitePast();
 }
 
--- a/packages/gateway/tests/directory_test.cpp
+++ b/packages/gateway/tests/directory_test.cpp
@@ -1,17 +1,31 @@
 #include "tamarackspan/gateway/catalogue.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 
+#include "tamarackspan/base/random.h"
+
+#include "absl/strings/str_cat.h"
+
 #include <gtest/gtest.h>
 
+#include <map>
+#include <vector>
+
 namespace {
 
+using namespace tamarackspan;
 using namespace tamarackspan::gateway;
 
 const auto now = absl::UnixEpoch() + absl::Hours(1);
 
+/// Returns an entry that is written at the revision of the same number as its start.
 auto entryOf(const std::string &id, std::int64_t startedAt = 1) -> LeafEntry
 {
-    return {.id = id, .service = "shard-1", .endpoint = {.ip = "10.0.0.1", .port = 80}, .startedAt = startedAt, .sequence = 1};
+    return {.id = id,
+            .service = "shard-1",
+            .endpoint = {.ip = "10.0.0.1", .port = 80},
+            .startedAt = startedAt,
+            .sequence = 1,
+            .revision = static_cast<std::uint64_t>(startedAt)};
 }
 
 struct Fixture : ::testing::Test
@@ -68,6 +82,7 @@
 {
     auto draining = entryOf("a");
     draining.sequence = 5;
+    draining.revision = 5;
     draining.draining = true;
     this->directory.put(draining, now);
     this->directory.put(entryOf("a"), now);
@@ -104,6 +119,7 @@
     // Neither a later report of that start, nor one from an older document after the leaf was removed, undoes it.
     auto later = entryOf("a", 5);
     later.sequence = 9;
+    later.revision = 5;
     this->directory.put(later, now);
     EXPECT_FALSE(acceptsRequests(*this->directory.service("shard-1").leafs.front(), now));
     this->directory.remove("a", now, now);
@@ -140,6 +156,135 @@
     EXPECT_FALSE(acceptsRequests(*this->directory.service("shard-1").leafs.front(), now + absl::Seconds(1)));
 }
 
+// Such a leaf was taken for an earlier start of itself and never used again.
+TEST_F(LeafDirectoryTest, FollowsALeafThatStartedAgainWithItsClockSetBack)
+{
+    this->directory.put(entryOf("a", 100), now);
+    EXPECT_TRUE(this->directory.markLeaving(this->directory.service("shard-1").leafs.front(), now));
+    auto again = entryOf("a", 50);
+    again.revision = 200;
+    this->directory.put(again, now);
+    EXPECT_EQ(this->directory.service("shard-1").leafs.front()->entry.startedAt, 50);
+    EXPECT_TRUE(acceptsRequests(*this->directory.service("shard-1").leafs.front(), now));
+    this->directory.put(entryOf("a", 100), now);
+    EXPECT_EQ(this->directory.service("shard-1").leafs.front()->entry.startedAt, 50);
+}
+
+TEST_F(LeafDirectoryTest, TellsStartsApartThatHaveTheSameTime)
+{
+    auto before = entryOf("a", 5);
+    before.sequence = 7;
+    this->directory.put(before, now);
+    const auto first = this->directory.service("shard-1").leafs.front();
+    EXPECT_TRUE(this->directory.markLeaving(first, now));
+    auto again = entryOf("a", 5);
+    again.revision = 9;
+    this->directory.put(again, now);
+    EXPECT_TRUE(first->gone);
+    EXPECT_TRUE(acceptsRequests(*this->directory.service("shard-1").leafs.front(), now));
+}
+
+/// Leafs that start, report, drain and end while their clocks jump, the store that records it, and a directory that reads the store late and out of order.
+struct SteppedClocks
+{
+    base::Random random;
+    LeafDirectory directory{[](const DirectoryEvent &) {}};
+    absl::Time at = now;
+    std::uint64_t revision = 0;
+    /// The entries in force, and all entries that a stale read can return.
+    std::map<std::string, LeafEntry> current{};
+    std::vector<LeafEntry> written{};
+
+    auto write(LeafEntry entry) -> void
+    {
+        entry.revision = ++this->revision;
+        this->current[entry.id] = entry;
+        this->written.push_back(entry);
+    }
+
+    auto step() -> void
+    {
+        const auto id = absl::StrCat("leaf-", this->random.below(4));
+        const auto found = this->current.find(id);
+        switch (this->random.below(4)) {
+        case 0: {
+            // The clock differs from the true time by up to 10 s either way, anew at each start; addresses are reused, also by other leafs.
+            auto entry = entryOf(id, absl::ToUnixMillis(this->at) + static_cast<std::int64_t>(this->random.below(20'000)) - 10'000);
+            entry.endpoint.port = static_cast<std::uint16_t>(80 + this->random.below(3));
+            this->write(entry);
+            break;
+        }
+        case 1:
+            if (found != this->current.end()) {
+                auto entry = found->second;
+                ++entry.sequence;
+                this->write(entry);
+            }
+            break;
+        case 2:
+            if (found != this->current.end()) {
+                auto entry = found->second;
+                ++entry.sequence;
+                entry.draining = true;
+                this->write(entry);
+            }
+            break;
+        default:
+            this->current.erase(id);
+            ++this->revision;
+            break;
+        }
+        this->at += absl::Milliseconds(this->random.below(2'000));
+    }
+
+    /// Reads some entry that was ever written, as a stale read can.
+    auto readStale() -> void
+    {
+        if (!this->written.empty()) {
+            this->directory.put(this->written[this->random.below(this->written.size())], this->at);
+        }
+    }
+
+    /// Lists the entries in force, and then reads stale ones.
+    auto readCurrent() -> void
+    {
+        auto ids = std::vector<std::string>();
+        for (const auto &[id, entry] : this->current) {
+            this->directory.put(entry, this->at);
+            ids.push_back(id);
+        }
+        this->directory.keepOnly(ids, this->at, this->at);
+    }
+};
+
+TEST(LeafDirectoryProperty, AfterACurrentReadExactlyTheStartsInForceAreUsedWhateverTheirClocksSay)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 200; ++seed) {
+        auto world = SteppedClocks{.random = base::Random(seed)};
+        for (auto round = 0; round < 60; ++round) {
+            world.step();
+            world.readStale();
+            world.readCurrent();
+            // Entries that stale reads return afterwards are older than those in force.
+            for (const auto &[id, entry] : world.current) {
+                for (const auto &old : world.written) {
+                    if (old.id == id) {
+                        world.directory.put(old, world.at);
+                    }
+                }
+            }
+            ASSERT_EQ(world.directory.size(), world.current.size()) << seed;
+            for (const auto &leaf : world.directory.service("shard-1").leafs) {
+                const auto &entry = world.current.at(leaf->entry.id);
+                ASSERT_EQ(leaf->entry.startedAt, entry.startedAt) << seed;
+                ASSERT_EQ(leaf->entry.endpoint, entry.endpoint) << seed;
+                ASSERT_EQ(acceptsRequests(*leaf, world.at), !entry.draining) << seed;
+            }
+            ASSERT_EQ(world.directory.service("shard-1").leafs.size(), world.current.size()) << seed;
+        }
+    }
+}
+
 TEST(Catalogue, NamesEachServiceOnce)
 {
     const auto catalogue = Catalogue{.operations = {{.shards = {"b", "a"}}, {.services = {{.service = "c"}, {.service = "a"}}}}};
