Give requests that wait for a draining leaf to other leafs

Requests that waited for a connection to a leaf went on waiting when its entry said that it drains: they were sent to it late or ended at their deadline. Only a leaf's own word in an answer moved them. Both now end in the same event, which does.

--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -99,6 +99,9 @@
     /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
     auto onLeafGone(const KnownLeaf &leaf) -> void;
 
+    /// Gives the requests that wait for a connection to a draining leaf to other leafs; refuses them if there are none.
+    auto onLeafDraining(const KnownLeaf &leaf) -> void;
+
     /// Returns the weight of recent requests, and of those whose operations can be served with the reachable leafs.
     [[nodiscard]] auto demand() const -> RequestDemand;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -626,7 +626,6 @@
         if (notice.leaving && this->directory.markLeaving(leaf, base::monotonicNow())) {
             this->metrics.add(this->leavingNotices);
             this->log.info("a leaf states that it leaves; it gets no new requests", {{"leaf", id}, {"started_at", leaf->entry.startedAt}});
-            this->client.rejectQueued(leaf->pool);
         }
         if (!notice.invalidBackoff.empty()) {
             this->log.warning(
@@ -1031,6 +1030,11 @@
     return all.size();
 }
 
+auto Gateway::onLeafDraining(const KnownLeaf &leaf) -> void
+{
+    this->core->client.rejectQueued(leaf.pool);
+}
+
 auto Gateway::onLeafGone(const KnownLeaf &leaf) -> void
 {
     this->core->client.closePool(leaf.pool);
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -404,6 +404,8 @@
                         {"started_at", entry.startedAt}});
         if (event.kind == DirectoryEvent::Kind::LeafGone) {
             this->gateway.onLeafGone(*event.leaf);
+        } else if (event.kind == DirectoryEvent::Kind::LeafDraining) {
+            this->gateway.onLeafDraining(*event.leaf);
         }
     }
 
