Put settings that are read again into force

Cause: the settings were read again, compared and not used.

The follower keeps what it knows while the new address proves to be the same store, lists everything otherwise, and never goes back.

--- a/packages/census/include/tamarackspan/census/census_link.h
+++ b/packages/census/include/tamarackspan/census/census_link.h
@@ -50,6 +50,9 @@
     /// Binds the port, sends the first reports and schedules the regular ones. Returns the socket error if the port can't be bound.
     [[nodiscard]] auto start() -> absl::Status;
 
+    /// Sets the hosts that are asked for others from now on.
+    auto setSeeds(std::vector<std::string> ips) -> void;
+
     /// Sends one round of reports immediately, in addition to the regular rounds.
     auto sendReports() -> void;
 
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -161,6 +161,11 @@
     });
 }
 
+auto CensusLink::setSeeds(std::vector<std::string> ips) -> void
+{
+    this->settings.reports.seeds = std::move(ips);
+}
+
 auto CensusLink::sendReports() -> void
 {
     const auto now = base::monotonicNow();
--- a/packages/gateway/include/tamarackspan/gateway/catalogue.h
+++ b/packages/gateway/include/tamarackspan/gateway/catalogue.h
@@ -77,6 +77,9 @@
     std::vector<Operation> operations{};
     absl::flat_hash_map<std::string, ServiceOptions> services{};
     CallerLimits limits{};
+    /// The store's revisions at which its item was created and last written; 0 if unknown. They tell one store from another.
+    std::uint64_t createdRevision = 0;
+    std::uint64_t writtenRevision = 0;
 
     friend auto operator==(const Catalogue &, const Catalogue &) -> bool = default;
 };
--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -73,6 +73,14 @@
     /// Begins with the catalogue and a full listing of the leafs.
     auto start() -> void;
 
+    /// Sets the timing of the reads from now on.
+    auto setSettings(const FollowerSettings &next) -> void;
+
+    /// Must be called once calls go to another address. What is known stays in use: a current read of the catalogue shows whether the new address serves the
+    /// same store, from which the changes are then read on. Otherwise everything is listed. Revision and catalogue never go back: a store that is behind what
+    /// is known is asked again until it isn't.
+    auto onStoreMoved() -> void;
+
     /// Returns whether the catalogue and a complete listing of the leafs have been read.
     [[nodiscard]] auto complete() const noexcept -> bool;
 
@@ -94,7 +102,10 @@
     auto readLeafs() -> void;
     /// Reads the changes with a current read if `fresh`, else with a cheap one.
     auto readChanges(bool fresh) -> void;
-    auto onCatalogueReply(const DocumentReply &reply) -> void;
+    /// Handles the reply to a call that was made after that many moves of the store.
+    auto onCatalogueReply(const DocumentReply &reply, std::uint64_t callMoves) -> void;
+    /// Returns whether a reply with the newest catalogue comes from the store whose state is known.
+    [[nodiscard]] auto isSameStore(const DocumentReply &reply) const -> bool;
     auto onCatalogueChanges(const DocumentReply &reply) -> void;
     auto onLeafsReply(const DocumentReply &reply) -> void;
     auto onChangesReply(const DocumentReply &reply) -> void;
@@ -132,6 +143,12 @@
     absl::Time lastReadAt = absl::InfinitePast();
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::uint64_t version = 0;
+    /// Of the newest catalogue: see Catalogue::createdRevision and Catalogue::writtenRevision.
+    std::uint64_t catalogueCreated = 0;
+    std::uint64_t catalogueWritten = 0;
+    /// How often the store's address has changed, and how many of these changes have been checked.
+    std::uint64_t storeMoves = 0;
+    std::uint64_t checkedMoves = 0;
     std::uint64_t revision = 0;
     std::uint64_t callsMade = 0;
     std::string page;
--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -80,6 +80,9 @@
     Gateway(const Gateway &) = delete;
     auto operator=(const Gateway &) -> Gateway & = delete;
 
+    /// Sets the limits on extra requests to leafs from now on.
+    auto setExtraRequests(const ExtraRequestOptions &options) -> void;
+
     /// Makes a catalogue effective for the requests that arrive from now on.
     auto setCatalogue(std::shared_ptr<const Catalogue> catalogue) -> void;
 
@@ -96,12 +99,12 @@
     /// run, any other as failed. Returns how many there were.
     auto endAll() -> std::size_t;
 
-    /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
-    auto onLeafGone(const KnownLeaf &leaf) -> void;
-
     /// Gives the requests that wait for a connection to a draining leaf to other leafs; refuses them if there are none.
     auto onLeafDraining(const KnownLeaf &leaf) -> void;
 
+    /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
+    auto onLeafGone(const KnownLeaf &leaf) -> void;
+
     /// Returns the weight of recent requests, and of those whose operations can be served with the reachable leafs.
     [[nodiscard]] auto demand() const -> RequestDemand;
 
--- a/packages/gateway/include/tamarackspan/gateway/gateway_host.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway_host.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tamarackspan::gateway {
 
@@ -53,6 +54,18 @@
     friend auto operator==(const GatewayHostSettings &, const GatewayHostSettings &) -> bool = default;
 };
 
+/// Settings that were read again.
+struct SettingsChange
+{
+    /// The settings in force from now on: those that need a restart are as before.
+    GatewayHostSettings settings{};
+    /// Whether calls go to another address of the document store from now on.
+    bool storeMoved = false;
+    /// The names of the settings that have changed and are in force, and of those that differ from what is in force and need a restart.
+    std::vector<std::string> inForce{};
+    std::vector<std::string> needRestart{};
+};
+
 /// A gateway host's interfaces to protocols, document store and settings, as plain functions.
 struct GatewayPorts
 {
@@ -60,7 +73,7 @@
     LeafProtocol leafs;
     DocumentCalls documents;
     /// Reads the settings file again; returns nothing if it can't be used, after logging why.
-    std::function<std::optional<GatewayHostSettings>()> readSettings;
+    std::function<std::optional<SettingsChange>()> readSettings;
     /// Returns a number that changes when the content of the settings file may have changed.
     std::function<std::uint64_t()> settingsStamp;
 };
--- a/packages/gateway/src/document_follower.cpp
+++ b/packages/gateway/src/document_follower.cpp
@@ -31,6 +31,20 @@
     this->readCatalogue();
 }
 
+auto DocumentFollower::setSettings(const FollowerSettings &next) -> void
+{
+    this->settings = next;
+}
+
+auto DocumentFollower::onStoreMoved() -> void
+{
+    ++this->storeMoves;
+    if (this->plannedRead != 0) {
+        this->loop.cancelTimer(std::exchange(this->plannedRead, 0));
+        this->readNext();
+    }
+}
+
 auto DocumentFollower::complete() const noexcept -> bool
 {
     return this->haveCatalogue && this->haveLeafs;
@@ -88,15 +102,16 @@
 auto DocumentFollower::readCatalogue() -> void
 {
     ++this->callsMade;
-    this->store.catalogue(this->settings.timeout, [this, alive = this->alive, sentAt = base::monotonicNow()](const DocumentReply &reply) {
-        if (!*alive) {
-            return;
-        }
-        if (reply.outcome == DocumentReply::Outcome::Ok) {
-            this->noteCurrentRead(reply.revision, sentAt);
-        }
-        this->onCatalogueReply(reply);
-    });
+    this->store.catalogue(this->settings.timeout,
+                          [this, alive = this->alive, sentAt = base::monotonicNow(), moves = this->storeMoves](const DocumentReply &reply) {
+                              if (!*alive) {
+                                  return;
+                              }
+                              if (reply.outcome == DocumentReply::Outcome::Ok && reply.revision >= this->revision) {
+                                  this->noteCurrentRead(reply.revision, sentAt);
+                              }
+                              this->onCatalogueReply(reply, moves);
+                          });
 }
 
 auto DocumentFollower::readLeafs() -> void
@@ -143,7 +158,19 @@
     });
 }
 
-auto DocumentFollower::onCatalogueReply(const DocumentReply &reply) -> void
+auto DocumentFollower::isSameStore(const DocumentReply &reply) const -> bool
+{
+    return std::ranges::any_of(reply.changes, [this](const DocumentChange &change) {
+        const auto *const catalogue = std::get_if<Catalogue>(&change);
+        if (catalogue == nullptr || catalogue->createdRevision != this->catalogueCreated) {
+            return false;
+        }
+        return catalogue->version == this->version ? catalogue->writtenRevision == this->catalogueWritten
+                                                   : catalogue->version > this->version && catalogue->writtenRevision > this->catalogueWritten;
+    });
+}
+
+auto DocumentFollower::onCatalogueReply(const DocumentReply &reply, std::uint64_t callMoves) -> void
 {
     if (reply.outcome != DocumentReply::Outcome::Ok) {
         this->noteFailure(reply.error);
@@ -151,7 +178,14 @@
         this->scheduleStep(this->settings.retryDelay, &DocumentFollower::readCatalogue);
         return;
     }
+    const auto moved = this->checkedMoves != callMoves;
+    if (moved && reply.revision < this->revision) {
+        this->log.warning("the store's new address is behind what is known, which stays in use", {{"revision", reply.revision}, {"known", this->revision}});
+        this->scheduleStep(this->settings.interval, &DocumentFollower::readCatalogue);
+        return;
+    }
     this->noteContact();
+    const auto continues = this->isSameStore(reply);
     for (const auto &change : reply.changes) {
         this->apply(change);
     }
@@ -159,6 +193,18 @@
         this->scheduleStep(this->settings.retryDelay, &DocumentFollower::readCatalogue);
         return;
     }
+    if (moved) {
+        this->checkedMoves = callMoves;
+        this->log.info(continues ? "the store's new address serves the same store" : "the store's new address serves another store; all is listed anew",
+                       {{"version", this->version}, {"revision", reply.revision}, {"known", this->revision}});
+        if (continues && this->haveLeafs) {
+            this->watchCatalogue();
+            this->readChanges(true);
+            return;
+        }
+        // A cheap listing may be older than the catalogue.
+        this->listingFresh = true;
+    }
     this->catalogueRevision = std::max(this->catalogueRevision, reply.revision);
     this->listingRevision = reply.revision;
     this->watchCatalogue();
@@ -261,6 +307,10 @@
 auto DocumentFollower::readNext() -> void
 {
     const auto now = base::monotonicNow();
+    if (this->checkedMoves != this->storeMoves) {
+        this->readCatalogue();
+        return;
+    }
     if (!this->lacksLeafs(now)) {
         const auto view = this->currentReadView();
         if (now >= currentReadDueAt(view, this->settings.currentReads)) {
@@ -323,6 +373,8 @@
         this->log.info("a configuration is in force",
                        {{"version", catalogue->version}, {"before", this->version}, {"operations", catalogue->operations.size()}});
         this->version = catalogue->version;
+        this->catalogueCreated = catalogue->createdRevision;
+        this->catalogueWritten = catalogue->writtenRevision;
         this->haveCatalogue = true;
         auto named = servicesNamed(*catalogue);
         auto added = std::vector<std::string>();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -990,6 +990,11 @@
     }
 }
 
+auto Gateway::setExtraRequests(const ExtraRequestOptions &options) -> void
+{
+    this->core->settings.extraRequests = options;
+}
+
 auto Gateway::setCatalogue(std::shared_ptr<const Catalogue> catalogue) -> void
 {
     this->core->publish(std::move(catalogue));
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -415,12 +415,12 @@
         this->callerServer.setLimits({.message = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
                                       .headerTimeout = limits.headerTimeout,
                                       .idleTimeout = limits.idleTimeout});
-        this->gateway.setCatalogue(std::move(catalogue));
-    }
         // Another host forwards what its own catalogue allows, which may be an earlier or a later one, with some fields of its own.
         this->neighbourLimits.headerBytes = std::max(this->neighbourLimits.headerBytes, limits.headerBytes + forwardedFieldBytes);
         this->neighbourLimits.bodyBytes = std::max(this->neighbourLimits.bodyBytes, limits.bodyBytes);
         this->neighbourServer.setLimits({.message = this->neighbourLimits});
+        this->gateway.setCatalogue(std::move(catalogue));
+    }
 
     auto scheduleSettingsCheck() -> void
     {
@@ -435,13 +435,25 @@
 
     auto reload(std::string_view cause) -> void
     {
-        const auto next = this->ports.readSettings();
-        if (!next.has_value()) {
+        if (this->stopping) {
+            return;
+        }
+        const auto change = this->ports.readSettings();
+        if (!change.has_value()) {
             this->log.warning("the settings can't be used; the current ones stay in force", {{"cause", cause}});
             return;
         }
-        const auto moved = next->callers != this->settings.callers || next->readiness != this->settings.readiness || next->metrics != this->settings.metrics;
-        this->log.info("settings were read again", {{"cause", cause}, {"changed", *next != this->settings}, {"addresses_need_restart", moved}});
+        this->log.info("settings were read again", {{"cause", cause}, {"in_force", absl::StrJoin(change->inForce, "; ")}});
+        if (!change->needRestart.empty()) {
+            this->log.warning("settings differ from those in force until the host is restarted", {{"fields", absl::StrJoin(change->needRestart, "; ")}});
+        }
+        this->settings = change->settings;
+        this->censusLink.setSeeds(this->settings.census.reports.seeds);
+        this->gateway.setExtraRequests(this->settings.gateway.extraRequests);
+        this->follower.setSettings(this->settings.follower);
+        if (change->storeMoved) {
+            this->follower.onStoreMoved();
+        }
     }
 
     auto stop() -> void
@@ -517,6 +529,8 @@
     /// Accepts queries from other hosts.
     http::StreamServer neighbourServer;
     http::StreamServer monitoringServer;
+    /// The largest limits of all catalogues so far.
+    http::MessageLimits neighbourLimits{};
     DocumentFollower follower;
     std::uint64_t stamp;
     bool stopping = false;
@@ -531,8 +545,6 @@
 
 auto runGatewayHost(transport::EventLoop &loop, const GatewayHostSettings &settings, GatewayPorts ports) -> int
 {
-    /// The largest limits of all catalogues so far.
-    http::MessageLimits neighbourLimits{};
     auto pipe = std::array<int, 2>();
     if (::pipe2(pipe.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
         return cannotServe;
--- a/packages/gateway/tests/document_follower_test.cpp
+++ b/packages/gateway/tests/document_follower_test.cpp
@@ -56,6 +56,144 @@
     }
 };
 
+/// A store at an address of its own, with one leaf.
+struct StoreAt
+{
+    Catalogue newest{};
+    std::uint64_t revision = 10;
+    std::string leaf = "old";
+    int listings = 0;
+
+    [[nodiscard]] auto catalogueReply() const -> DocumentReply
+    {
+        return {.outcome = DocumentReply::Outcome::Ok, .changes = {this->newest}, .revision = this->revision};
+    }
+};
+
+auto storedCatalogue(std::uint64_t version, std::uint64_t created, std::uint64_t written) -> Catalogue
+{
+    auto made = catalogue(version, {"old"});
+    made.createdRevision = created;
+    made.writtenRevision = written;
+    return made;
+}
+
+/// A follower whose store moves from one address to another.
+struct MovedStore
+{
+    transport::EventLoop loop{};
+    StoreAt before{.newest = storedCatalogue(4, 2, 8)};
+    StoreAt after{.newest = storedCatalogue(4, 2, 8)};
+    StoreAt *current = &before;
+    std::vector<std::uint64_t> versions{};
+    LeafDirectory directory{[](const DirectoryEvent &) {}};
+    logging::Logger log{"test"};
+    DocumentFollower follower{loop,
+                              calls(),
+                              directory,
+                              {.interval = absl::Milliseconds(100)},
+                              {},
+                              [this](const std::shared_ptr<const Catalogue> &next) {
+                                  this->versions.push_back(next->version);
+                              },
+                              log};
+
+    [[nodiscard]] auto calls() -> DocumentCalls
+    {
+        return {.catalogue =
+                    [this](absl::Duration, const DocumentCalls::Callback &callback) {
+                        callback(this->current->catalogueReply());
+                    },
+                .catalogueChanges = [](std::uint64_t, absl::Duration, absl::Duration, const DocumentCalls::Callback &) {},
+                .leafs =
+                    [this](const std::string &, bool, absl::Duration, const DocumentCalls::Callback &callback) {
+                        ++this->current->listings;
+                        auto entry = leafOf("old");
+                        entry.id = this->current->leaf;
+                        callback({.outcome = DocumentReply::Outcome::Ok, .changes = {entry}, .revision = this->current->revision});
+                    },
+                .changes =
+                    [this](std::uint64_t, bool, absl::Duration, const DocumentCalls::Callback &callback) {
+                        callback({.outcome = DocumentReply::Outcome::Ok, .revision = this->current->revision});
+                    }};
+    }
+
+    /// Returns the id of the only leaf that is known.
+    [[nodiscard]] auto leaf() -> std::string
+    {
+        const auto &leafs = this->directory.service("old").leafs;
+        return leafs.size() == 1 ? leafs.front()->entry.id : std::string();
+    }
+
+    auto runFor(absl::Duration time) -> void
+    {
+        this->loop.runAt(base::monotonicNow() + time, [this] {
+            this->loop.stop();
+        });
+        this->loop.run();
+    }
+
+    auto move() -> void
+    {
+        this->follower.start();
+        this->runFor(absl::Milliseconds(250));
+        this->current = &this->after;
+        this->follower.onStoreMoved();
+        this->runFor(absl::Milliseconds(350));
+    }
+};
+
+TEST(DocumentFollower, ANewAddressOfTheSameStoreIsReadOnWithoutAListing)
+{
+    auto moved = MovedStore();
+    moved.after.revision = 12;
+    moved.move();
+    EXPECT_EQ(moved.after.listings, 0);
+    EXPECT_EQ(moved.leaf(), "old");
+    EXPECT_EQ(moved.versions, std::vector<std::uint64_t>{4});
+}
+
+TEST(DocumentFollower, ANewAddressWithALaterCatalogueOfTheSameStoreIsReadOn)
+{
+    auto moved = MovedStore();
+    moved.after.newest = storedCatalogue(6, 2, 11);
+    moved.after.revision = 12;
+    moved.move();
+    EXPECT_EQ(moved.after.listings, 0);
+    EXPECT_EQ(moved.versions, (std::vector<std::uint64_t>{4, 6}));
+}
+
+TEST(DocumentFollower, AnotherStoreIsListedAnew)
+{
+    for (const auto &[created, written] : {std::pair(3U, 8U), std::pair(2U, 9U)}) {
+        auto moved = MovedStore();
+        moved.after.newest = storedCatalogue(4, created, written);
+        moved.after.revision = 12;
+        moved.after.leaf = "new";
+        moved.move();
+        EXPECT_EQ(moved.after.listings, 1);
+        EXPECT_EQ(moved.leaf(), "new");
+    }
+}
+
+TEST(DocumentFollower, AStoreThatIsBehindWhatIsKnownChangesNothing)
+{
+    auto moved = MovedStore();
+    moved.after.newest = storedCatalogue(2, 2, 5);
+    moved.after.revision = 6;
+    moved.after.leaf = "new";
+    moved.move();
+    EXPECT_EQ(moved.after.listings, 0);
+    EXPECT_EQ(moved.leaf(), "old");
+    EXPECT_EQ(moved.versions, std::vector<std::uint64_t>{4});
+    // Once it has caught up it is followed.
+    moved.after.newest = storedCatalogue(4, 2, 8);
+    moved.after.revision = 11;
+    moved.runFor(absl::Milliseconds(350));
+    EXPECT_EQ(moved.after.listings, 0);
+    EXPECT_EQ(moved.leaf(), "old");
+}
+
 TEST(DocumentFollower, ListsTheLeafsOfANewCatalogueAtOnce)
 {
     constexpr auto interval = absl::Seconds(2);
