--- a/packages/http/tests/message_syntax_test.cpp
+++ b/packages/http/tests/message_syntax_test.cpp
@@ -49,7 +49,7 @@
              fields("X: a\nContent-Length: 4\r\n"),
              fields("X: a\rContent-Length: 4\r\n"),
              fields("X: a\r\r\nContent-Length: 4\r\n"),
-             fields(std::string("X: a\0b\r\nContent-Length: 4\r\n", 29)),
+             fields(std::string("X: a\0b\r\nContent-Length: 4\r\n", 27)),
              fields("X: a\x0b\r\nContent-Length: 4\r\n"),
              fields("X: a\x7f\r\nContent-Length: 4\r\n"),
              fields("Content-Length: 4\r\nContent-Length: 4\r\n"),
--- a/packages/http/tests/stream_ahead_test.cpp
+++ b/packages/http/tests/stream_ahead_test.cpp
@@ -106,7 +106,7 @@
         test::sendAll(fd, std::string_view(bytes).substr(at, size));
         at += size;
     }
-    const auto bodies = readBodies(fd, expected);
+    auto bodies = readBodies(fd, expected);
     ::close(fd);
     return bodies;
 }
--- a/packages/http/tests/stream_limits_test.cpp
+++ b/packages/http/tests/stream_limits_test.cpp
@@ -40,7 +40,7 @@
     }
 
     /// Sends bytes and returns the status line of the next response.
-    auto exchange(const std::string &bytes) const -> std::string
+    [[nodiscard]] auto exchange(const std::string &bytes) const -> std::string
     {
         test::sendAll(this->fd, bytes);
         return test::readMessage(this->fd).substr(0, 12);
--- a/packages/testkit/include/tamarackspan/testkit/relay.h
+++ b/packages/testkit/include/tamarackspan/testkit/relay.h
@@ -30,7 +30,7 @@
     /// - "cut": true closes all open connections now;
     /// - "refuse": whether new connections are refused;
     /// - "silent": "open" permanently mutes the connections that are open now, which then forward nothing, not even a close, while new connections work; "all"
-    /// mutes every connection, including new ones; "none" ends "all";
+    /// mutes every connection, including new ones; "oldest" permanently mutes the one that has been open longest of those that aren't; "none" ends "all";
     /// - "one_way": "to_server" or "to_client" is the only direction that is forwarded; "both" restores the other;
     /// - "delay_ms": delay of each direction.
     /// An unknown key or value returns an error and changes nothing.
--- a/packages/testkit/src/relay.cpp
+++ b/packages/testkit/src/relay.cpp
@@ -73,6 +73,8 @@
     Direction toClient;
     /// Forwards nothing any more, not even a close.
     bool muted = false;
+    /// Counts the pairs of the relay.
+    std::uint64_t number = 0;
 };
 
 } // namespace
@@ -143,6 +145,7 @@
         auto pair = std::make_shared<Pair>();
         pair->toServer.from = pair->toClient.to = client;
         pair->toServer.to = pair->toClient.from = server;
+        pair->number = this->accepted;
         this->pairs.insert(pair);
         this->update(pair);
     }
@@ -277,6 +280,19 @@
         }
     }
 
+    auto muteOldest() -> void
+    {
+        auto oldest = std::shared_ptr<Pair>();
+        for (const auto &pair : this->pairs) {
+            if (!pair->muted && (oldest == nullptr || pair->number < oldest->number)) {
+                oldest = pair;
+            }
+        }
+        if (oldest != nullptr) {
+            oldest->muted = true;
+        }
+    }
+
     auto apply(const Json &change) -> void
     {
         if (change.value("cut", false)) {
@@ -289,6 +305,9 @@
             }
         }
         const auto silentMode = change.value("silent", "");
+        if (silentMode == "oldest") {
+            this->muteOldest();
+        }
         this->allMuted = silentMode.empty() ? this->allMuted : silentMode == "all";
         this->oneWay = change.value("one_way", this->oneWay);
         this->delay = absl::Milliseconds(change.value("delay_ms", absl::ToInt64Milliseconds(this->delay)));
@@ -316,7 +335,7 @@
         return absl::InvalidArgumentError("expected a JSON object");
     }
     for (const auto &[key, value] : change.items()) {
-        const auto valid = ((key == "cut" || key == "refuse") && value.is_boolean()) || (key == "silent" && isOneOf(value, {"none", "open", "all"}))
+        const auto valid = ((key == "cut" || key == "refuse") && value.is_boolean()) || (key == "silent" && isOneOf(value, {"none", "oldest", "open", "all"}))
             || (key == "one_way" && isOneOf(value, {"both", "to_server", "to_client"})) || (key == "delay_ms" && impl::isNonNegativeInteger(value));
         if (!valid) {
             return absl::InvalidArgumentError(absl::StrCat(key, ": unknown key or value"));
