--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -113,6 +113,7 @@
     metrics::CounterId callersDisconnected{};
     metrics::CounterId leavingNotices{};
     metrics::CounterId backoffNotices{};
+    metrics::CounterId foreignAnswers{};
 
     auto stateOf(const Operation &operation) -> OperationState *
     {
@@ -604,7 +605,7 @@
             .matchesResponse =
                 [this, work, leaf](const http::StreamMessage &response) {
                     this->noteNotice(leaf, this->leafs.parseNotice(response));
-                    return this->leafs.belongs(work->request.id, response);
+                    return this->belongs(*work, *leaf, response);
                 },
             .onSent =
                 [work, at, place] {
@@ -619,6 +620,18 @@
         work->slots[at].attempts[place].call = id;
     }
 
+    /// Returns whether a response is the answer to a request that a leaf was sent.
+    auto belongs(const Work &work, const KnownLeaf &leaf, const http::StreamMessage &response) -> bool
+    {
+        if (this->leafs.belongs(work.request.id, response)) {
+            return true;
+        }
+        this->metrics.add(this->foreignAnswers);
+        this->log.info("an answer isn't this request's and is discarded; the request waits on",
+                       {{"request", work.request.id}, {"leaf", leaf.entry.id}, {"status", response.status}});
+        return false;
+    }
+
     /// Records what a leaf states about itself. Requests that are queued for a leaf that wants no more are given to other leafs.
     auto noteNotice(const std::shared_ptr<KnownLeaf> &leaf, const LeafNotice &notice) -> void
     {
@@ -977,6 +990,7 @@
     this->core->extraRequests = metrics.counter({.metric = "tamarackspan_extra_leaf_requests_total", .labels = {}});
     this->core->leavingNotices = metrics.counter({.metric = "tamarackspan_leaf_leaving_notices_total", .labels = {}});
     this->core->backoffNotices = metrics.counter({.metric = "tamarackspan_leaf_backoff_notices_total", .labels = {}});
+    this->core->foreignAnswers = metrics.counter({.metric = "tamarackspan_foreign_leaf_answers_total", .labels = {}});
     this->core->callersDisconnected = metrics.counter({.metric = "tamarackspan_callers_left_total", .labels = {}});
 }
 
