--- a/packages/gateway/tests/directory_test.cpp
+++ b/packages/gateway/tests/directory_test.cpp
@@ -206,7 +206,8 @@
     {
         const auto id = absl::StrCat("leaf-", this->random.below(4));
         const auto found = this->current.find(id);
-        switch (this->random.below(4)) {
+        const auto action = this->random.below(4);
+        switch (action) {
         case 0: {
             // The clock differs from the true time by up to 10 s either way, anew at each start; addresses are reused, also by other leafs.
             auto entry = entryOf(id, absl::ToUnixMillis(this->at) + static_cast<std::int64_t>(this->random.below(20'000)) - 10'000);
@@ -215,17 +216,11 @@
             break;
         }
         case 1:
-            if (found != this->current.end()) {
-                auto entry = found->second;
-                ++entry.sequence;
-                this->write(entry);
-            }
-            break;
         case 2:
             if (found != this->current.end()) {
                 auto entry = found->second;
                 ++entry.sequence;
-                entry.draining = true;
+                entry.draining = entry.draining || action == 2;
                 this->write(entry);
             }
             break;
