--- a/packages/gateway/include/tamarackspan/gateway/stop_decision.h
+++ b/packages/gateway/include/tamarackspan/gateway/decisions/stop_decision.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tamarackspan/gateway/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/latency_estimate.h"
 
 #include "absl/time/time.h"
 
--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "tamarackspan/gateway/catalogue.h"
+#include "tamarackspan/gateway/decisions/revision_history.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
-#include "tamarackspan/gateway/revision_history.h"
 #include "tamarackspan/logging/logger.h"
 #include "tamarackspan/transport/event_loop.h"
 
--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -2,9 +2,9 @@
 
 #include "tamarackspan/census/host_census.h"
 #include "tamarackspan/gateway/catalogue.h"
+#include "tamarackspan/gateway/decisions/reachability_decision.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
-#include "tamarackspan/gateway/reachability_decision.h"
 #include "tamarackspan/http/stream_client.h"
 #include "tamarackspan/http/stream_server.h"
 #include "tamarackspan/logging/logger.h"
--- a/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "tamarackspan/gateway/extra_request_budget.h"
+#include "tamarackspan/gateway/decisions/extra_request_budget.h"
+#include "tamarackspan/gateway/decisions/replica_choice.h"
 #include "tamarackspan/gateway/leaf_entry.h"
-#include "tamarackspan/gateway/replica_choice.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
--- a/packages/gateway/src/connection_share.cpp
+++ b/packages/gateway/src/decisions/connection_share.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/connection_share.h"
+#include "tamarackspan/gateway/decisions/connection_share.h"
 
 #include <algorithm>
 
--- a/packages/gateway/src/extra_request_budget.cpp
+++ b/packages/gateway/src/decisions/extra_request_budget.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/extra_request_budget.h"
+#include "tamarackspan/gateway/decisions/extra_request_budget.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/gateway/src/latency_estimate.cpp
+++ b/packages/gateway/src/decisions/latency_estimate.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/latency_estimate.h"
 
 #include <algorithm>
 
--- a/packages/gateway/src/pause_detector.cpp
+++ b/packages/gateway/src/decisions/pause_detector.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/pause_detector.h"
+#include "tamarackspan/gateway/decisions/pause_detector.h"
 
 namespace tamarackspan::gateway {
 
--- a/packages/gateway/src/replica_choice.cpp
+++ b/packages/gateway/src/decisions/replica_choice.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/replica_choice.h"
+#include "tamarackspan/gateway/decisions/replica_choice.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/src/revision_history.cpp
+++ b/packages/gateway/src/decisions/revision_history.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/revision_history.h"
+#include "tamarackspan/gateway/decisions/revision_history.h"
 
 #include <algorithm>
 
--- a/packages/gateway/src/weighted_choice.cpp
+++ b/packages/gateway/src/decisions/weighted_choice.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/weighted_choice.h"
+#include "tamarackspan/gateway/decisions/weighted_choice.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -2,8 +2,8 @@
 
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/base/random.h"
+#include "tamarackspan/gateway/decisions/pause_detector.h"
 #include "tamarackspan/gateway/leaf_directory.h"
-#include "tamarackspan/gateway/pause_detector.h"
 #include "tamarackspan/http/stream_client.h"
 #include "tamarackspan/http/stream_server.h"
 #include "tamarackspan/logging/logger.h"
--- a/packages/gateway/src/impl/request_work.h
+++ b/packages/gateway/src/impl/request_work.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "tamarackspan/gateway/admission_decision.h"
 #include "tamarackspan/gateway/catalogue.h"
-#include "tamarackspan/gateway/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/admission_decision.h"
+#include "tamarackspan/gateway/decisions/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/weighted_choice.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
-#include "tamarackspan/gateway/weighted_choice.h"
 #include "tamarackspan/http/stream_client.h"
 #include "tamarackspan/http/stream_server.h"
 #include "tamarackspan/metrics/metric_registry.h"
--- a/packages/gateway/tests/admission_decision_test.cpp
+++ b/packages/gateway/tests/admission_decision_test.cpp
@@ -1,6 +1,6 @@
 #include "tamarackspan/base/random.h"
-#include "tamarackspan/gateway/admission_decision.h"
-#include "tamarackspan/gateway/gather_decision.h"
+#include "tamarackspan/gateway/decisions/admission_decision.h"
+#include "tamarackspan/gateway/decisions/gather_decision.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/gateway/tests/gather_decision_test.cpp
+++ b/packages/gateway/tests/gather_decision_test.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/gather_decision.h"
+#include "tamarackspan/gateway/decisions/gather_decision.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/gateway/tests/hand_over_decision_test.cpp
+++ b/packages/gateway/tests/hand_over_decision_test.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/forwarding_decision.h"
+#include "tamarackspan/gateway/decisions/forwarding_decision.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/gateway/tests/policies_test.cpp
+++ b/packages/gateway/tests/policies_test.cpp
@@ -1,8 +1,8 @@
 #include "tamarackspan/base/random.h"
-#include "tamarackspan/gateway/extra_request_budget.h"
-#include "tamarackspan/gateway/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/extra_request_budget.h"
+#include "tamarackspan/gateway/decisions/latency_estimate.h"
+#include "tamarackspan/gateway/decisions/weighted_choice.h"
 #include "tamarackspan/gateway/record_merge.h"
-#include "tamarackspan/gateway/weighted_choice.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/packages/gateway/tests/reach_decision_test.cpp
+++ b/packages/gateway/tests/reach_decision_test.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/reachability_decision.h"
+#include "tamarackspan/gateway/decisions/reachability_decision.h"
 
 #include "tamarackspan/base/random.h"
 
--- a/packages/gateway/tests/revision_history_test.cpp
+++ b/packages/gateway/tests/revision_history_test.cpp
@@ -1,5 +1,5 @@
-#include "tamarackspan/gateway/pause_detector.h"
-#include "tamarackspan/gateway/revision_history.h"
+#include "tamarackspan/gateway/decisions/pause_detector.h"
+#include "tamarackspan/gateway/decisions/revision_history.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/gateway/tests/stop_decision_test.cpp
+++ b/packages/gateway/tests/stop_decision_test.cpp
@@ -1,4 +1,4 @@
-#include "tamarackspan/gateway/stop_decision.h"
+#include "tamarackspan/gateway/decisions/stop_decision.h"
 
 #include <gtest/gtest.h>
 
