Wire and types for evacuations and the store's era

Cause: evacuations of data centres and stores that come back from an older copy aren't known to the product; the parts that handle them are built side by side and need the same types. Change: StoreRevision orders by era and revision; statements about the store carry it. Gossip reports carry evacuations. Nothing acts on them yet.

--- a/packages/census/include/tamarackspan/census/census_generated.h
+++ b/packages/census/include/tamarackspan/census/census_generated.h
@@ -21,6 +21,10 @@
 struct HostBuilder;
 struct HostT;
 
+struct Evacuation;
+struct EvacuationBuilder;
+struct EvacuationT;
+
 struct Report;
 struct ReportBuilder;
 struct ReportT;
@@ -172,6 +176,108 @@
 
 flatbuffers::Offset<Host> CreateHost(flatbuffers::FlatBufferBuilder &_fbb, const HostT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationT : public flatbuffers::NativeTable {
+  typedef Evacuation TableType;
+  std::string data_centre{};
+  bool evacuated = false;
+  uint64_t era = 0;
+  uint64_t revision = 0;
+};
+
+struct Evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationT NativeTableType;
+  typedef EvacuationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTRE = 4,
+    VT_EVACUATED = 6,
+    VT_ERA = 8,
+    VT_REVISION = 10
+  };
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+  EvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationBuilder {
+  typedef Evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(Evacuation::VT_DATA_CENTRE, data_centre);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(Evacuation::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_ERA, era, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_REVISION, revision, 0);
+  }
+  explicit EvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuation>(end);
+    fbb_.Required(o, Evacuation::VT_DATA_CENTRE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    bool evacuated = false,
+    uint64_t era = 0,
+    uint64_t revision = 0) {
+  EvacuationBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_era(era);
+  builder_.add_data_centre(data_centre);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_centre = nullptr,
+    bool evacuated = false,
+    uint64_t era = 0,
+    uint64_t revision = 0) {
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return tamarackspan::census::frame::CreateEvacuation(
+      _fbb,
+      data_centre__,
+      evacuated,
+      era,
+      revision);
+}
+
+flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ReportT : public flatbuffers::NativeTable {
   typedef Report TableType;
   std::vector<std::unique_ptr<tamarackspan::census::frame::HostT>> hosts{};
@@ -184,6 +290,8 @@
   uint64_t store_read = 0;
   uint64_t store_revision = 0;
   uint32_t store_age_ms = 0;
+  uint64_t store_era = 0;
+  std::vector<std::unique_ptr<tamarackspan::census::frame::EvacuationT>> evacuations{};
   ReportT() = default;
   ReportT(const ReportT &o);
   ReportT(ReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -203,7 +311,9 @@
     VT_STORE_READER = 16,
     VT_STORE_READ = 18,
     VT_STORE_REVISION = 20,
-    VT_STORE_AGE_MS = 22
+    VT_STORE_AGE_MS = 22,
+    VT_STORE_ERA = 24,
+    VT_EVACUATIONS = 26
   };
   const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Host>> *hosts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Host>> *>(VT_HOSTS);
@@ -235,6 +345,12 @@
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOSTS) &&
@@ -251,6 +367,10 @@
            VerifyField<uint64_t>(verifier, VT_STORE_READ, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
            verifier.EndTable();
   }
   ReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -292,6 +412,12 @@
   void add_store_age_ms(uint32_t store_age_ms) {
     fbb_.AddElement<uint32_t>(Report::VT_STORE_AGE_MS, store_age_ms, 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(Report::VT_STORE_ERA, store_era, 0);
+  }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>>> evacuations) {
+    fbb_.AddOffset(Report::VT_EVACUATIONS, evacuations);
+  }
   explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -315,11 +441,15 @@
     uint64_t store_reader = 0,
     uint64_t store_read = 0,
     uint64_t store_revision = 0,
-    uint32_t store_age_ms = 0) {
+    uint32_t store_age_ms = 0,
+    uint64_t store_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>>> evacuations = 0) {
   ReportBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_store_revision(store_revision);
   builder_.add_store_read(store_read);
   builder_.add_store_reader(store_reader);
+  builder_.add_evacuations(evacuations);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_served(served);
   builder_.add_asked(asked);
@@ -341,9 +471,12 @@
     uint64_t store_reader = 0,
     uint64_t store_read = 0,
     uint64_t store_revision = 0,
-    uint32_t store_age_ms = 0) {
+    uint32_t store_age_ms = 0,
+    uint64_t store_era = 0,
+    const std::vector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>> *evacuations = nullptr) {
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::census::frame::Host>>(*hosts) : 0;
   auto out_of_reach__ = out_of_reach ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*out_of_reach) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>>(*evacuations) : 0;
   return tamarackspan::census::frame::CreateReport(
       _fbb,
       hosts__,
@@ -355,7 +488,9 @@
       store_reader,
       store_read,
       store_revision,
-      store_age_ms);
+      store_age_ms,
+      store_era,
+      evacuations__);
 }
 
 flatbuffers::Offset<Report> CreateReport(flatbuffers::FlatBufferBuilder &_fbb, const ReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -404,6 +539,41 @@
       _sequence);
 }
 
+inline EvacuationT *Evacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EvacuationT>(new EvacuationT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuation::UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = evacuated(); _o->evacuated = _e; }
+  { auto _e = era(); _o->era = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+}
+
+inline flatbuffers::Offset<Evacuation> Evacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data_centre = _fbb.CreateString(_o->data_centre);
+  auto _evacuated = _o->evacuated;
+  auto _era = _o->era;
+  auto _revision = _o->revision;
+  return tamarackspan::census::frame::CreateEvacuation(
+      _fbb,
+      _data_centre,
+      _evacuated,
+      _era,
+      _revision);
+}
+
 inline ReportT::ReportT(const ReportT &o)
       : known(o.known),
         wants_reply(o.wants_reply),
@@ -413,9 +583,12 @@
         store_reader(o.store_reader),
         store_read(o.store_read),
         store_revision(o.store_revision),
-        store_age_ms(o.store_age_ms) {
+        store_age_ms(o.store_age_ms),
+        store_era(o.store_era) {
   hosts.reserve(o.hosts.size());
   for (const auto &hosts_ : o.hosts) { hosts.emplace_back((hosts_) ? new tamarackspan::census::frame::HostT(*hosts_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new tamarackspan::census::frame::EvacuationT(*evacuations_) : nullptr); }
 }
 
 inline ReportT &ReportT::operator=(ReportT o) FLATBUFFERS_NOEXCEPT {
@@ -429,6 +602,8 @@
   std::swap(store_read, o.store_read);
   std::swap(store_revision, o.store_revision);
   std::swap(store_age_ms, o.store_age_ms);
+  std::swap(store_era, o.store_era);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -451,6 +626,8 @@
   { auto _e = store_read(); _o->store_read = _e; }
   { auto _e = store_revision(); _o->store_revision = _e; }
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
+  { auto _e = store_era(); _o->store_era = _e; }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<tamarackspan::census::frame::EvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Report> Report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -471,6 +648,8 @@
   auto _store_read = _o->store_read;
   auto _store_revision = _o->store_revision;
   auto _store_age_ms = _o->store_age_ms;
+  auto _store_era = _o->store_era;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarackspan::census::frame::Evacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tamarackspan::census::frame::CreateReport(
       _fbb,
       _hosts,
@@ -482,7 +661,9 @@
       _store_reader,
       _store_read,
       _store_revision,
-      _store_age_ms);
+      _store_age_ms,
+      _store_era,
+      _evacuations);
 }
 
 inline const tamarackspan::census::frame::Report *GetReport(const void *buf) {
--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackspan/base/random.h"
+#include "tamarackspan/census/store_revision.h"
 
 #include "absl/time/time.h"
 
@@ -49,13 +50,24 @@
     /// Identifies one start of the host that made the read, and the read among its reads, which are numbered from 1.
     std::uint64_t reader = 0;
     std::uint64_t read = 0;
-    std::uint64_t revision = 0;
+    StoreRevision position{};
     /// When the read was sent, by this host's monotonic clock.
     absl::Time currentAt = absl::InfinitePast();
 
     friend auto operator==(const RevisionStatement &, const RevisionStatement &) -> bool = default;
 };
 
+/// Whether the operator has evacuated a data centre: no requests are sent to its leafs until that is taken back.
+struct EvacuationStatement
+{
+    std::string dataCentre{};
+    bool evacuated = false;
+    /// When the operator's item was written, or removed.
+    StoreRevision since{};
+
+    friend auto operator==(const EvacuationStatement &, const EvacuationStatement &) -> bool = default;
+};
+
 /// The contents of one gossip report.
 struct HostReport
 {
@@ -68,6 +80,8 @@
     ReachStatement reach{};
     /// The latest statement about the document store that the sender knows; datagrams carry its age.
     std::optional<RevisionStatement> revision{};
+    /// The evacuations that the sender knows, in force or taken back.
+    std::vector<EvacuationStatement> evacuations{};
 
     friend auto operator==(const HostReport &, const HostReport &) -> bool = default;
 };
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -34,6 +34,8 @@
 constexpr auto hostsPerRelay = std::size_t{4};
 /// A report that names more data centres than this as out of reach is rejected as invalid.
 constexpr auto maxOutOfReach = std::uint32_t{64};
+/// The same for evacuations.
+constexpr auto maxEvacuations = std::uint32_t{64};
 
 auto addressOf(const std::string &ip, std::uint16_t port) -> sockaddr_in
 {
@@ -58,9 +60,18 @@
         const auto age = absl::ToInt64Milliseconds(absl::Ceil(now - report.revision->currentAt, absl::Milliseconds(1)));
         message.store_reader = report.revision->reader;
         message.store_read = report.revision->read;
-        message.store_revision = report.revision->revision;
+        message.store_era = report.revision->position.era;
+        message.store_revision = report.revision->position.revision;
         message.store_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
     }
+    for (const auto &statement : report.evacuations) {
+        auto evacuation = std::make_unique<frame::EvacuationT>();
+        evacuation->data_centre = statement.dataCentre;
+        evacuation->evacuated = statement.evacuated;
+        evacuation->era = statement.since.era;
+        evacuation->revision = statement.since.revision;
+        message.evacuations.push_back(std::move(evacuation));
+    }
     for (const auto &record : report.records) {
         auto host = std::make_unique<frame::HostT>();
         host->name = record.name;
@@ -87,7 +98,9 @@
     const auto *const report = frame::GetReport(bytes);
     const auto *const hosts = report->hosts();
     const auto *const outOfReach = report->out_of_reach();
-    if (hosts->size() > maxRecords || (outOfReach != nullptr && outOfReach->size() > maxOutOfReach)) {
+    const auto *const evacuations = report->evacuations();
+    if (hosts->size() > maxRecords || (outOfReach != nullptr && outOfReach->size() > maxOutOfReach)
+        || (evacuations != nullptr && evacuations->size() > maxEvacuations)) {
         return std::nullopt;
     }
     if (!(report->served() >= 0.0F && report->served() <= report->asked() && std::isfinite(report->asked()))) {
@@ -112,9 +125,16 @@
     if (report->store_read() != 0) {
         decoded.revision = RevisionStatement{.reader = report->store_reader(),
                                              .read = report->store_read(),
-                                             .revision = report->store_revision(),
+                                             .position = {.era = report->store_era(), .revision = report->store_revision()},
                                              .currentAt = now - absl::Milliseconds(report->store_age_ms())};
     }
+    if (evacuations != nullptr) {
+        for (const auto *const evacuation : *evacuations) {
+            decoded.evacuations.push_back({.dataCentre = evacuation->data_centre()->str(),
+                                           .evacuated = evacuation->evacuated(),
+                                           .since = {.era = evacuation->era(), .revision = evacuation->revision()}});
+        }
+    }
     return decoded;
 }
 
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -262,7 +262,7 @@
         const auto cut = decodeReport(std::string_view(datagram).substr(0, size), start);
         EXPECT_TRUE(!cut.has_value() || *cut == report) << size;
     }
-    const auto stated = RevisionStatement{.reader = 1U << 30U, .read = 7, .revision = 9, .currentAt = start - absl::Milliseconds(300)};
+    const auto stated = RevisionStatement{.reader = 1U << 30U, .read = 7, .position = {.revision = 9}, .currentAt = start - absl::Milliseconds(300)};
     EXPECT_LE(encodeReport({.records = std::vector<HostRecord>(10, record("front-imereti-a-100")), .revision = stated}, start).size(), 1200);
     for (const auto &[asked, served] : std::vector<std::pair<float, float>>{{1.0F, 2.0F}, {-1.0F, -2.0F}, {NAN, NAN}, {INFINITY, 0.0F}}) {
         EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = {"b"}, .asked = asked, .served = served}}, start), start),
@@ -274,8 +274,9 @@
 // Clocks of hosts differ: a datagram carries the age of a statement, and its own way counts as part of that age only if the receiver adds it.
 TEST(CensusReport, CarriesTheAgeOfAStatementAboutTheStore)
 {
-    const auto report = HostReport{.records = {record("1")},
-                                   .revision = RevisionStatement{.reader = 5, .read = 7, .revision = 9, .currentAt = start - absl::Milliseconds(300)}};
+    const auto report =
+        HostReport{.records = {record("1")},
+                   .revision = RevisionStatement{.reader = 5, .read = 7, .position = {.revision = 9}, .currentAt = start - absl::Milliseconds(300)}};
     EXPECT_EQ(decodeReport(encodeReport(report, start), start), report);
     const auto otherClock = start + absl::Hours(3);
     const auto received = decodeReport(encodeReport(report, start), otherClock);
--- a/packages/gateway/include/tamarackspan/gateway/decisions/revision_history.h
+++ b/packages/gateway/include/tamarackspan/gateway/decisions/revision_history.h
@@ -20,8 +20,9 @@
     /// the statement is later than the latest one by at least `step`, so that other hosts should hear of it.
     auto record(const census::RevisionStatement &statement, absl::Duration step) -> bool;
 
-    /// Returns the latest time up to which a host that has applied all changes up to a revision knows all changes; the infinite past if no statement tells.
-    [[nodiscard]] auto knownUntil(std::uint64_t revision) const -> absl::Time;
+    /// Returns the latest time up to which a host that has applied all changes up to a point of its history knows all changes; the infinite past if no
+    /// statement tells.
+    [[nodiscard]] auto knownUntil(const census::StoreRevision &position) const -> absl::Time;
 
     /// Returns the statement with the latest time.
     [[nodiscard]] auto latest() const -> std::optional<census::RevisionStatement>;
--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -141,6 +141,17 @@
     friend auto operator==(const LeafRemoved &, const LeafRemoved &) -> bool = default;
 };
 
+/// The operator's item that evacuates a data centre was written or removed.
+struct EvacuationItem
+{
+    std::string dataCentre{};
+    bool evacuated = false;
+    /// The store's revision at which that happened.
+    std::uint64_t revision = 0;
+
+    friend auto operator==(const EvacuationItem &, const EvacuationItem &) -> bool = default;
+};
+
 /// An entry that can't be used, and why.
 struct UnreadableEntry
 {
@@ -151,7 +162,7 @@
 };
 
 /// One change in the document store.
-using DocumentChange = std::variant<Catalogue, LeafEntry, LeafRemoved, UnreadableEntry>;
+using DocumentChange = std::variant<Catalogue, LeafEntry, LeafRemoved, EvacuationItem, UnreadableEntry>;
 
 /// Result of a call to the document store.
 struct DocumentReply
@@ -167,6 +178,8 @@
     std::vector<DocumentChange> changes{};
     /// The store's revision as of this reply; the next call for changes starts from it.
     std::uint64_t revision = 0;
+    /// The store's era; nothing if the reply states none or one that isn't a number.
+    std::optional<std::uint64_t> era{};
     /// The key after which the next page of a listing begins; empty on the last page.
     std::string nextPage{};
     /// Reason of a failure, for logs.
--- a/packages/gateway/src/decisions/revision_history.cpp
+++ b/packages/gateway/src/decisions/revision_history.cpp
@@ -32,11 +32,11 @@
     return isLater;
 }
 
-auto RevisionHistory::knownUntil(std::uint64_t revision) const -> absl::Time
+auto RevisionHistory::knownUntil(const census::StoreRevision &position) const -> absl::Time
 {
     auto until = absl::InfinitePast();
     for (const auto &statement : this->statements) {
-        if (statement.revision <= revision) {
+        if (statement.position <= position) {
             until = std::max(until, statement.currentAt);
         }
     }
--- a/packages/gateway/src/document_follower.cpp
+++ b/packages/gateway/src/document_follower.cpp
@@ -62,7 +62,7 @@
 
 auto DocumentFollower::knownUntil() const -> absl::Time
 {
-    return this->statements.knownUntil(this->revision);
+    return this->statements.knownUntil({.revision = this->revision});
 }
 
 auto DocumentFollower::noteStatement(const census::RevisionStatement &statement) -> void
@@ -72,7 +72,7 @@
 
 auto DocumentFollower::noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void
 {
-    this->record({.reader = this->peers.reader, .read = ++this->ownReads, .revision = revision, .currentAt = sentAt}, true);
+    this->record({.reader = this->peers.reader, .read = ++this->ownReads, .position = {.revision = revision}, .currentAt = sentAt}, true);
 }
 
 auto DocumentFollower::record(const census::RevisionStatement &statement, bool ownRead) -> void
--- a/packages/gateway/tests/document_follower_test.cpp
+++ b/packages/gateway/tests/document_follower_test.cpp
@@ -290,7 +290,7 @@
     auto stateEachInterval(DocumentFollower &follower) -> void
     {
         const auto now = base::monotonicNow();
-        follower.noteStatement({.reader = 7, .read = ++this->statedReads, .revision = this->store.stateAt(now).revision, .currentAt = now});
+        follower.noteStatement({.reader = 7, .read = ++this->statedReads, .position = {.revision = this->store.stateAt(now).revision}, .currentAt = now});
         this->loop.runAt(now + shortInterval, [this, &follower] {
             this->stateEachInterval(follower);
         });
--- a/packages/gateway/tests/revision_history_test.cpp
+++ b/packages/gateway/tests/revision_history_test.cpp
@@ -14,46 +14,47 @@
 TEST(RevisionHistory, KnowsChangesUpToTheLatestReadThatItsRevisionCovers)
 {
     auto history = RevisionHistory();
-    EXPECT_EQ(history.knownUntil(1000), absl::InfinitePast());
-    EXPECT_TRUE(history.record({.reader = 1, .read = 1, .revision = 10, .currentAt = start}, step));
-    EXPECT_TRUE(history.record({.reader = 1, .read = 2, .revision = 20, .currentAt = start + absl::Seconds(1)}, step));
-    EXPECT_EQ(history.knownUntil(9), absl::InfinitePast());
-    EXPECT_EQ(history.knownUntil(10), start);
-    EXPECT_EQ(history.knownUntil(19), start);
-    EXPECT_EQ(history.knownUntil(20), start + absl::Seconds(1));
+    EXPECT_EQ(history.knownUntil({.revision = 1000}), absl::InfinitePast());
+    EXPECT_TRUE(history.record({.reader = 1, .read = 1, .position = {.revision = 10}, .currentAt = start}, step));
+    EXPECT_TRUE(history.record({.reader = 1, .read = 2, .position = {.revision = 20}, .currentAt = start + absl::Seconds(1)}, step));
+    EXPECT_EQ(history.knownUntil({.revision = 9}), absl::InfinitePast());
+    EXPECT_EQ(history.knownUntil({.revision = 10}), start);
+    EXPECT_EQ(history.knownUntil({.revision = 19}), start);
+    EXPECT_EQ(history.knownUntil({.revision = 20}), start + absl::Seconds(1));
 }
 
 // A copy of a statement that was held up must not make the read look newer than it was.
 TEST(RevisionHistory, KeepsTheEarliestTimeOfAStatement)
 {
     auto history = RevisionHistory();
-    const auto late = census::RevisionStatement{.reader = 1, .read = 1, .revision = 10, .currentAt = start + absl::Seconds(2)};
+    const auto late = census::RevisionStatement{.reader = 1, .read = 1, .position = {.revision = 10}, .currentAt = start + absl::Seconds(2)};
     auto early = late;
     early.currentAt = start;
     std::ignore = history.record(late, step);
     EXPECT_FALSE(history.record(early, step));
-    EXPECT_EQ(history.knownUntil(10), start);
+    EXPECT_EQ(history.knownUntil({.revision = 10}), start);
     EXPECT_FALSE(history.record(late, step));
-    EXPECT_EQ(history.knownUntil(10), start);
+    EXPECT_EQ(history.knownUntil({.revision = 10}), start);
 }
 
 TEST(RevisionHistory, TellsOthersOnlyOfStatementsThatAreLaterByAStep)
 {
     auto history = RevisionHistory();
-    EXPECT_TRUE(history.record({.reader = 1, .read = 1, .revision = 10, .currentAt = start}, step));
-    EXPECT_FALSE(history.record({.reader = 2, .read = 1, .revision = 10, .currentAt = start + step / 2}, step));
-    EXPECT_FALSE(history.record({.reader = 3, .read = 1, .revision = 9, .currentAt = start - step}, step));
-    EXPECT_TRUE(history.record({.reader = 1, .read = 2, .revision = 11, .currentAt = start + step * 2}, step));
+    EXPECT_TRUE(history.record({.reader = 1, .read = 1, .position = {.revision = 10}, .currentAt = start}, step));
+    EXPECT_FALSE(history.record({.reader = 2, .read = 1, .position = {.revision = 10}, .currentAt = start + step / 2}, step));
+    EXPECT_FALSE(history.record({.reader = 3, .read = 1, .position = {.revision = 9}, .currentAt = start - step}, step));
+    EXPECT_TRUE(history.record({.reader = 1, .read = 2, .position = {.revision = 11}, .currentAt = start + step * 2}, step));
 }
 
 TEST(RevisionHistory, StaysBounded)
 {
     auto history = RevisionHistory();
     for (auto read = std::uint64_t{1}; read <= 1000; ++read) {
-        std::ignore = history.record({.reader = 1, .read = read, .revision = read, .currentAt = start + absl::Seconds(1) * static_cast<double>(read)}, step);
+        std::ignore = history.record(
+            {.reader = 1, .read = read, .position = {.revision = read}, .currentAt = start + absl::Seconds(1) * static_cast<double>(read)}, step);
     }
-    EXPECT_EQ(history.knownUntil(1000), start + absl::Seconds(1000));
-    EXPECT_EQ(history.knownUntil(900), absl::InfinitePast());
+    EXPECT_EQ(history.knownUntil({.revision = 1000}), start + absl::Seconds(1000));
+    EXPECT_EQ(history.knownUntil({.revision = 900}), absl::InfinitePast());
 }
 
 TEST(CurrentRead, OneHostReadsForAllAndOthersOnlyIfItDoesNot)
