Evacuation of data centres: table, reads, statements and effect

Cause: items by which the operator evacuates a data centre weren't acted on. Change: the configuration and all evacuations come with one paged range read; a table by data centre orders what was read and what other hosts state; leafs of an evacuated data centre get no new requests.

--- a/packages/census/include/tamarackspan/census/census_link.h
+++ b/packages/census/include/tamarackspan/census/census_link.h
@@ -33,6 +33,9 @@
 /// Encodes a report as one datagram that is sent at `now`.
 [[nodiscard]] auto encodeReport(const HostReport &report, absl::Time now) -> std::string;
 
+/// Encodes a report as encodeReport() does; records of other hosts are left out, the last ones first, until it fits into `bytes`.
+[[nodiscard]] auto encodeWithin(std::size_t bytes, HostReport report, absl::Time now) -> std::string;
+
 /// Decodes a datagram that was received at `now`; returns nothing if it isn't a valid report.
 [[nodiscard]] auto decodeReport(std::string_view datagram, absl::Time now) -> std::optional<HostReport>;
 
@@ -67,6 +70,10 @@
     /// and to some of each other one if this host made the read.
     auto spreadRevision(const RevisionStatement &statement, bool ownRead) -> void;
 
+    /// Sets the evacuations that all reports from now on state. If they differ from before, some hosts are told at once: several of the own data
+    /// centre, and one of each other one if this host read them itself.
+    auto spreadEvacuations(std::vector<EvacuationStatement> statements, bool ownRead) -> void;
+
 private:
     /// Adds this host's own statements to a report and encodes it.
     [[nodiscard]] auto encodeWithStatements(HostReport report) const -> std::string;
@@ -83,6 +90,7 @@
     std::function<void(const HostReport &)> onReport;
     ReachStatement reach{};
     std::optional<RevisionStatement> revision{};
+    std::vector<EvacuationStatement> evacuations{};
     transport::TimerId timer = 0;
     int fd = -1;
 };
--- a/packages/census/src/census_link.cpp
+++ b/packages/census/src/census_link.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+/// The maximum size of a report: fits into one packet of any network path.
+constexpr auto maxReportBytes = std::size_t{1200};
 /// Larger than any report.
 constexpr auto datagramBytes = std::size_t{8192};
 /// A datagram with more records than this is rejected as invalid.
@@ -88,6 +90,16 @@
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+auto encodeWithin(std::size_t bytes, HostReport report, absl::Time now) -> std::string
+{
+    auto datagram = encodeReport(report, now);
+    while (datagram.size() > bytes && report.records.size() > 1) {
+        report.records.pop_back();
+        datagram = encodeReport(report, now);
+    }
+    return datagram;
+}
+
 auto decodeReport(std::string_view datagram, absl::Time now) -> std::optional<HostReport>
 {
     const auto *const bytes = reinterpret_cast<const std::uint8_t *>(datagram.data());
@@ -222,6 +234,16 @@
     this->announce(ownRead ? hostsPerAnnouncement : hostsPerRelay, ownRead ? hostsPerRemoteAnnouncement : 0);
 }
 
+auto CensusLink::spreadEvacuations(std::vector<EvacuationStatement> statements, bool ownRead) -> void
+{
+    if (statements == this->evacuations) {
+        return;
+    }
+    this->evacuations = std::move(statements);
+    // All hosts that can reach the store announce what they read, so that one host of each other data centre is enough.
+    this->announce(hostsPerRelay, ownRead ? 1 : 0);
+}
+
 auto CensusLink::announce(std::size_t near, std::size_t far) -> void
 {
     const auto now = base::monotonicNow();
@@ -235,7 +257,9 @@
 {
     report.reach = this->reach;
     report.revision = this->revision;
-    return encodeReport(report, base::monotonicNow());
+    report.evacuations = this->evacuations;
+    // Without evacuations the number of records alone bounds the size.
+    return report.evacuations.empty() ? encodeReport(report, base::monotonicNow()) : encodeWithin(maxReportBytes, std::move(report), base::monotonicNow());
 }
 
 auto CensusLink::sendTo(const std::string &ip, const std::string &datagram) const -> void
--- a/packages/census/tests/census_test.cpp
+++ b/packages/census/tests/census_test.cpp
@@ -271,6 +271,23 @@
     EXPECT_EQ(decodeReport(encodeReport({.records = {record("1")}, .reach = {.outOfReach = std::vector<std::string>(100, "b")}}, start), start), std::nullopt);
 }
 
+// A report that needs two packets is lost twice as often; records of other hosts come with the next reports.
+TEST(CensusReport, EvacuationsTakeThePlaceOfRecordsInADatagram)
+{
+    auto report = HostReport{.records = std::vector<HostRecord>(10, record("front-imereti-a-100"))};
+    report.records.front() = record("sender");
+    for (const auto *const dataCentre : {"imereti-a", "imereti-b", "imereti-c", "imereti-d", "imereti-e", "imereti-f", "imereti-g", "imereti-h"}) {
+        report.evacuations.push_back({.dataCentre = dataCentre, .evacuated = true, .since = {.era = 1, .revision = 1U << 30U}});
+    }
+    const auto datagram = encodeWithin(1200, report, start);
+    EXPECT_LE(datagram.size(), 1200);
+    const auto decoded = decodeReport(datagram, start);
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->evacuations, report.evacuations);
+    EXPECT_EQ(decoded->records.front(), report.records.front());
+    EXPECT_GE(decoded->records.size(), 3);
+}
+
 // Clocks of hosts differ: a datagram carries the age of a statement, and its own way counts as part of that age only if the receiver adds it.
 TEST(CensusReport, CarriesTheAgeOfAStatementAboutTheStore)
 {
--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackspan/gateway/catalogue.h"
+#include "tamarackspan/gateway/decisions/evacuation_table.h"
 #include "tamarackspan/gateway/decisions/revision_history.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
@@ -56,16 +57,17 @@
     std::function<void(const census::RevisionStatement &, bool ownRead)> spread{};
 };
 
-/// Keeps the catalogue and the leafs' entries of a host up to date from a read-only document store, which may be unreachable and may lose its history of
-/// changes. The last known state stays in use while the store is unreachable.
+/// Keeps the catalogue, the evacuations and the leafs' entries of a host up to date from a read-only document store, which may be unreachable and may lose its
+/// history of changes. The last known state stays in use while the store is unreachable.
 class DocumentFollower
 {
 public:
     using OnCatalogue = std::function<void(std::shared_ptr<const Catalogue>)>;
+    using OnEvacuations = std::function<void(const EvacuationReading &)>;
 
-    /// Objects passed by reference must outlive the follower.
+    /// Objects passed by reference must outlive the follower. `onEvacuations` is called for each read that says something about evacuations; may be empty.
     DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings, FollowerPeers peers,
-                     OnCatalogue onCatalogue, const logging::Logger &log);
+                     OnCatalogue onCatalogue, const logging::Logger &log, OnEvacuations onEvacuations = {});
     ~DocumentFollower();
     DocumentFollower(const DocumentFollower &) = delete;
     auto operator=(const DocumentFollower &) -> DocumentFollower & = delete;
@@ -110,6 +112,8 @@
     auto onLeafsReply(const DocumentReply &reply) -> void;
     auto onChangesReply(const DocumentReply &reply) -> void;
     auto apply(const DocumentChange &change) -> void;
+    /// Passes on what a reply says about evacuations; a `listing` contains all that exist.
+    auto noteEvacuations(const DocumentReply &reply, bool listing) const -> void;
     auto noteContact() -> void;
     auto noteFailure(const std::string &error) -> void;
     auto scheduleStep(absl::Duration delay, void (DocumentFollower::*step)()) -> void;
@@ -136,6 +140,7 @@
     FollowerPeers peers;
     OnCatalogue onCatalogue;
     const logging::Logger &log;
+    OnEvacuations onEvacuations;
     RevisionHistory statements;
     std::uint64_t ownReads = 0;
     std::uint64_t currentReadsMade = 0;
--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/census/host_census.h"
 #include "tamarackspan/gateway/catalogue.h"
+#include "tamarackspan/gateway/decisions/evacuation_table.h"
 #include "tamarackspan/gateway/decisions/reachability_decision.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarackspan::gateway {
@@ -24,8 +26,11 @@
 /// Settings of a gateway.
 struct GatewaySettings
 {
+    /// The host's name; the time at which it uses the leafs of a data centre again after an evacuation depends on it.
+    std::string hostName{};
     std::string dataCentre{};
     ExtraRequestOptions extraRequests{};
+    EvacuationOptions evacuation{};
     /// An answer must be sent this long before the objective, to leave time for merging and writing it; the network time to and from the caller comes on top.
     absl::Duration answerMargin = absl::Milliseconds(4);
     /// The port on which hosts of the same data centre accept forwarded queries from each other.
@@ -72,10 +77,10 @@
 {
 public:
     /// Objects passed by reference must outlive the gateway. Requests to leafs and their answers are recorded in `reach`; leafs of data centres that are marked
-    /// there as cut off get no requests.
+    /// there as cut off, or that are evacuated, get no requests.
     Gateway(transport::EventLoop &loop, GatewaySettings settings, CallerProtocol callers, LeafProtocol leafs,
-            std::function<const Neighbourhood &()> neighbourhood, ReachabilityMap &reach, http::StreamClient &client, LeafDirectory &directory,
-            metrics::MetricShard &metrics, const logging::Logger &log);
+            std::function<const Neighbourhood &()> neighbourhood, ReachabilityMap &reach, const EvacuationTable &evacuations, http::StreamClient &client,
+            LeafDirectory &directory, metrics::MetricShard &metrics, const logging::Logger &log);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     auto operator=(const Gateway &) -> Gateway & = delete;
@@ -102,6 +107,9 @@
     /// Gives the requests that wait for a connection to a draining leaf to other leafs; refuses them if there are none.
     auto onLeafDraining(const KnownLeaf &leaf) -> void;
 
+    /// Gives the requests that wait for a connection to a leaf of an evacuated data centre to other leafs; refuses them if there are none.
+    auto onEvacuated(std::string_view dataCentre) -> void;
+
     /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
     auto onLeafGone(const KnownLeaf &leaf) -> void;
 
--- a/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
@@ -95,6 +95,9 @@
     /// Returns the service of that name, created empty on first use. The reference stays valid.
     [[nodiscard]] auto service(const std::string &name) -> KnownService &;
 
+    /// Returns the known leafs of a data centre.
+    [[nodiscard]] auto inDataCentre(std::string_view dataCentre) const -> std::vector<std::shared_ptr<KnownLeaf>>;
+
     /// Returns how many leafs are known.
     [[nodiscard]] auto size() const noexcept -> std::size_t;
 
--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -191,9 +191,9 @@
 {
     using Callback = std::function<void(DocumentReply)>;
 
-    /// Reads the newest catalogue.
+    /// Reads the newest catalogue and all evacuations; the reply states the earliest revision that any part of it shows.
     std::function<void(absl::Duration timeout, Callback)> catalogue;
-    /// Returns the catalogues after a revision; waits up to `wait` for the first.
+    /// Returns the catalogues and the changes of evacuations after a revision; waits up to `wait` for the first.
     std::function<void(std::uint64_t afterRevision, absl::Duration wait, absl::Duration timeout, Callback)> catalogueChanges;
     /// Lists leafs' entries after a key. May be slightly stale unless `fresh`, which costs more.
     std::function<void(const std::string &afterKey, bool fresh, absl::Duration timeout, Callback)> leafs;
--- a/packages/gateway/src/document_follower.cpp
+++ b/packages/gateway/src/document_follower.cpp
@@ -10,14 +10,15 @@
 namespace tamarackspan::gateway {
 
 DocumentFollower::DocumentFollower(transport::EventLoop &loop, DocumentCalls calls, LeafDirectory &directory, FollowerSettings settings, FollowerPeers peers,
-                                   OnCatalogue onCatalogue, const logging::Logger &log)
+                                   OnCatalogue onCatalogue, const logging::Logger &log, OnEvacuations onEvacuations)
     : loop(loop),
       store(std::move(calls)),
       directory(directory),
       settings(settings),
       peers(std::move(peers)),
       onCatalogue(std::move(onCatalogue)),
-      log(log)
+      log(log),
+      onEvacuations(std::move(onEvacuations))
 {
 }
 
@@ -189,6 +190,7 @@
     for (const auto &change : reply.changes) {
         this->apply(change);
     }
+    this->noteEvacuations(reply, true);
     if (!this->haveCatalogue) {
         this->scheduleStep(this->settings.retryDelay, &DocumentFollower::readCatalogue);
         return;
@@ -227,6 +229,7 @@
     for (const auto &change : reply.changes) {
         this->apply(change);
     }
+    this->noteEvacuations(reply, false);
     this->catalogueRevision = std::max(this->catalogueRevision, reply.revision);
     this->watchCatalogue();
     this->expediteRead();
@@ -358,6 +361,7 @@
     for (const auto &change : reply.changes) {
         this->apply(change);
     }
+    this->noteEvacuations(reply, false);
     this->revision = std::max(this->revision, reply.revision);
     this->lastReadAt = base::monotonicNow();
     this->scheduleNextRead();
@@ -394,6 +398,23 @@
     }
 }
 
+auto DocumentFollower::noteEvacuations(const DocumentReply &reply, bool listing) const -> void
+{
+    const auto era = reply.era.value_or(0);
+    auto reading = EvacuationReading();
+    for (const auto &change : reply.changes) {
+        if (const auto *const item = std::get_if<EvacuationItem>(&change)) {
+            reading.items.push_back({.dataCentre = item->dataCentre, .evacuated = item->evacuated, .since = {.era = era, .revision = item->revision}});
+        }
+    }
+    if (listing) {
+        reading.listedAt = census::StoreRevision{.era = era, .revision = reply.revision};
+    }
+    if (this->onEvacuations && (listing || !reading.items.empty())) {
+        this->onEvacuations(reading);
+    }
+}
+
 auto DocumentFollower::noteContact() -> void
 {
     const auto now = base::monotonicNow();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -16,14 +16,15 @@
 } // namespace
 
 Gateway::Gateway(transport::EventLoop &loop, GatewaySettings settings, CallerProtocol callers, LeafProtocol leafs,
-                 std::function<const Neighbourhood &()> neighbourhood, ReachabilityMap &reach, http::StreamClient &client, LeafDirectory &directory,
-                 metrics::MetricShard &metrics, const logging::Logger &log)
+                 std::function<const Neighbourhood &()> neighbourhood, ReachabilityMap &reach, const EvacuationTable &evacuations, http::StreamClient &client,
+                 LeafDirectory &directory, metrics::MetricShard &metrics, const logging::Logger &log)
     : core(std::make_unique<Core>(Core{.loop = loop,
                                        .settings = std::move(settings),
                                        .callers = std::move(callers),
                                        .leafs = std::move(leafs),
                                        .neighbourhood = std::move(neighbourhood),
                                        .reach = reach,
+                                       .evacuations = evacuations,
                                        .client = client,
                                        .directory = directory,
                                        .metrics = metrics,
@@ -97,6 +98,13 @@
     this->core->client.rejectQueued(leaf.pool);
 }
 
+auto Gateway::onEvacuated(std::string_view dataCentre) -> void
+{
+    for (const auto &leaf : this->core->directory.inDataCentre(dataCentre)) {
+        this->core->client.rejectQueued(leaf->pool);
+    }
+}
+
 auto Gateway::onLeafGone(const KnownLeaf &leaf) -> void
 {
     this->core->client.closePool(leaf.pool);
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -40,6 +40,8 @@
 constexpr auto stopCheckInterval = absl::Milliseconds(50);
 /// How often unresponsive data centres are checked: a fraction of the time after which missing answers count.
 constexpr auto reachCheckInterval = absl::Milliseconds(50);
+/// How many states of data centres a report to other hosts carries: more than there are data centres, and a part of a datagram.
+constexpr auto maxStatedEvacuations = std::size_t{8};
 /// Maximum size of the header fields that a host adds to a forwarded query.
 constexpr auto forwardedFieldBytes = std::size_t{1024};
 constexpr auto cannotServe = 4;
@@ -107,13 +109,14 @@
                          this->onHostHeard(report.records.front());
                          this->onReachStated(report);
                          this->onRevisionStated(report);
+                         this->onEvacuationsStated(report);
                      }),
           gateway(
               loop, settings.gateway, this->ports.callers, this->ports.leafs,
               [this]() -> const Neighbourhood & {
                   return this->currentNeighbourhood();
               },
-              reach, client, directory, shard, log),
+              reach, evacuations, client, directory, shard, log),
           callerServer(loop, http::StreamServerLimits{},
                        {.onRequest =
                             [this](http::ExchangeId id, http::StreamMessage message, http::RequestOrigin origin) {
@@ -154,7 +157,10 @@
               [this](std::shared_ptr<const Catalogue> catalogue) {
                   this->onCatalogue(std::move(catalogue));
               },
-              log),
+              log,
+              [this](const EvacuationReading &reading) {
+                  this->applyEvacuations(afterReading(this->evacuations, reading, base::monotonicNow()));
+              }),
           stamp(this->ports.settingsStamp())
     {
     }
@@ -243,6 +249,7 @@
         this->loop.runAt(base::monotonicNow() + reachCheckInterval, [this] {
             this->pauses.tick(base::monotonicNow());
             this->checkReach();
+            this->applyEvacuations(afterOwnReads(this->evacuations, this->follower.knownUntil(), base::monotonicNow()));
             this->scheduleReachCheck();
         });
     }
@@ -307,6 +314,36 @@
         this->follower.noteStatement(*report.revision);
     }
 
+    auto onEvacuationsStated(const census::HostReport &report) -> void
+    {
+        const auto &sender = report.records.front();
+        if (!report.evacuations.empty() && sender.name != this->settings.hostName) {
+            this->applyEvacuations(afterStatements(this->evacuations, sender.name, report.evacuations, base::monotonicNow()));
+        }
+    }
+
+    /// Puts a new table of evacuations into effect, and tells other hosts of what has changed.
+    auto applyEvacuations(EvacuationStep step) -> void
+    {
+        this->evacuations = std::move(step.next);
+        auto readHere = false;
+        for (const auto &change : step.changes) {
+            readHere = readHere || change.host.empty();
+            this->log.warning(change.state.evacuated ? "a data centre is evacuated; its leafs get no new requests"
+                                                     : "a data centre is no longer evacuated; its leafs are used again one by one",
+                              {{"data_centre", change.dataCentre},
+                               {"evacuated", change.state.evacuated},
+                               {"era", change.state.since.era},
+                               {"revision", change.state.since.revision},
+                               {"source", change.host.empty() ? std::string("store") : change.host},
+                               {"knowledge_age_ms", this->knowledgeAgeMs()}});
+            if (change.state.evacuated) {
+                this->gateway.onEvacuated(change.dataCentre);
+            }
+        }
+        this->censusLink.spreadEvacuations(statementsOf(this->evacuations, maxStatedEvacuations), readHere);
+    }
+
     /// Probes unresponsive data centres, and reports unready while other hosts serve callers better.
     auto checkReach() -> void
     {
@@ -372,7 +409,8 @@
             absl::StrAppend(&body, "tamarackspan_leaf_connections_opened_total ", this->client.connectionsOpened(), "\n", "tamarackspan_store_calls_total ",
                             this->follower.calls(), "\n", "tamarackspan_store_current_reads_total ", this->follower.currentReads(), "\n", this->knowledgeAge(),
                             "tamarackspan_requests_under_way ", this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ", this->directory.size(), "\n",
-                            "tamarackspan_known_hosts ", this->census.quotaHostCount(base::monotonicNow()), "\n");
+                            "tamarackspan_evacuated_data_centres ", evacuatedCount(this->evacuations), "\n", "tamarackspan_known_hosts ",
+                            this->census.quotaHostCount(base::monotonicNow()), "\n");
             this->monitoringServer.answer(id, {.status = 200, .headers = {{"Content-Type", metrics::prometheusContentType}}, .body = std::move(body)});
             return;
         }
@@ -383,6 +421,13 @@
         this->monitoringServer.answer(id, {.status = ready ? 200U : 503U});
     }
 
+    /// Returns how old what is known of the store is, in milliseconds; -1 before the first reads.
+    [[nodiscard]] auto knowledgeAgeMs() const -> std::int64_t
+    {
+        const auto until = this->follower.knownUntil();
+        return until == absl::InfinitePast() ? -1 : absl::ToInt64Milliseconds(base::monotonicNow() - until);
+    }
+
     /// Returns the metric of how old what is known of the store is; nothing before the first reads.
     [[nodiscard]] auto knowledgeAge() const -> std::string
     {
@@ -518,6 +563,7 @@
     census::HostCensus census;
     census::CensusLink censusLink;
     ReachabilityMap reach{};
+    EvacuationTable evacuations{};
     std::set<std::string, std::less<>> cutOffDataCentres{};
     PeerDemands peerDemands;
     /// Since when this host has reported unready because other hosts serve callers better.
--- a/packages/gateway/src/impl/gateway_core.h
+++ b/packages/gateway/src/impl/gateway_core.h
@@ -32,6 +32,8 @@
 }
 /// Retry time after a refusal by a stopping host: the balancer may still send the caller's next connection to it.
 inline constexpr auto stoppingRetryAfter = absl::Milliseconds(50);
+/// Retry time after a refusal because the leafs are in evacuated data centres: nothing but the operator changes that.
+inline constexpr auto evacuatedRetryAfter = absl::Seconds(2);
 /// The reason of a refusal because data centres are cut off, for the log.
 inline constexpr auto cutOffReason = std::string_view("data centres that hold its leafs are out of reach");
 
@@ -55,6 +57,7 @@
     LeafProtocol leafs;
     std::function<const Neighbourhood &()> neighbourhood;
     ReachabilityMap &reach;
+    const EvacuationTable &evacuations;
     http::StreamClient &client;
     LeafDirectory &directory;
     metrics::MetricShard &metrics;
@@ -102,6 +105,8 @@
     [[nodiscard]] auto connectionShare(std::uint32_t all, const Work &work) const -> ConnectionShare;
     [[nodiscard]] auto extraRequestOptions(const Work &work) const -> ExtraRequestOptions;
     [[nodiscard]] auto isReachable(const KnownLeaf &leaf) const -> bool;
+    /// Returns from when on the evacuations allow requests to a leaf.
+    [[nodiscard]] auto evacuatedUntil(const KnownLeaf &leaf) const -> absl::Time;
     [[nodiscard]] auto isUsable(const KnownLeaf &leaf, absl::Time now) const -> bool;
     /// Returns when a service has a leaf that may be asked, as far as its leafs have said: `now` if it has one already, infinite if none is known.
     [[nodiscard]] auto acceptsRequestsFrom(const KnownService &service, absl::Time now) const -> absl::Time;
--- a/packages/gateway/src/impl/leaf_requests.cpp
+++ b/packages/gateway/src/impl/leaf_requests.cpp
@@ -65,6 +65,12 @@
 {
     if (untilServable < absl::InfiniteDuration()) {
         this->refuse(work, untilServable, "its leafs want no requests for a while");
+    } else if (std::ranges::any_of(work->slots, [this](const Slot &slot) {
+                   return std::ranges::any_of(slot.service->leafs, [this](const auto &leaf) {
+                       return this->evacuatedUntil(*leaf) == absl::InfiniteFuture();
+                   });
+               })) {
+        this->refuse(work, evacuatedRetryAfter, "data centres that hold its leafs are evacuated");
     } else if (isAnyCutOff(this->reach)) {
         this->refuse(work, cutOffRetryAfter, cutOffReason);
     } else {
--- a/packages/gateway/src/impl/leaf_selection.cpp
+++ b/packages/gateway/src/impl/leaf_selection.cpp
@@ -47,18 +47,23 @@
     return reached == this->reach.end() || !reached->second.cutOff;
 }
 
+auto Gateway::Core::evacuatedUntil(const KnownLeaf &leaf) const -> absl::Time
+{
+    return usableFrom(this->evacuations, leaf.entry.dataCentre, this->settings.hostName, leaf.entry.id, this->settings.evacuation);
+}
+
 auto Gateway::Core::isUsable(const KnownLeaf &leaf, absl::Time now) const -> bool
 {
-    return acceptsRequests(leaf, now) && this->isReachable(leaf);
+    return acceptsRequests(leaf, now) && this->isReachable(leaf) && now >= this->evacuatedUntil(leaf);
 }
 
 auto Gateway::Core::acceptsRequestsFrom(const KnownService &service, absl::Time now) const -> absl::Time
 {
     auto from = absl::InfiniteFuture();
     for (const auto &leaf : service.leafs) {
-        const auto backoffEnd = std::max(leaf->backoffUntil, now);
-        if (acceptsRequests(*leaf, backoffEnd) && this->isReachable(*leaf)) {
-            from = std::min(from, backoffEnd);
+        const auto leafFrom = std::max({leaf->backoffUntil, this->evacuatedUntil(*leaf), now});
+        if (acceptsRequests(*leaf, leafFrom) && this->isReachable(*leaf)) {
+            from = std::min(from, leafFrom);
         }
     }
     return from;
@@ -125,6 +130,7 @@
 
 auto Gateway::Core::candidates(const Slot &slot, absl::Time now) const -> std::vector<ReplicaCandidate>
 {
+    const auto nearIsBetter = distanceCounts(this->evacuations, this->settings.evacuation, now);
     auto list = std::vector<ReplicaCandidate>();
     list.reserve(slot.service->leafs.size());
     for (const auto &leaf : slot.service->leafs) {
@@ -133,7 +139,7 @@
         });
         list.push_back({.condition = leaf->condition,
                         .slots = leaf->entry.slots,
-                        .sameDataCentre = leaf->entry.dataCentre == this->settings.dataCentre,
+                        .sameDataCentre = !nearIsBetter || leaf->entry.dataCentre == this->settings.dataCentre,
                         .warmingUp = now < leaf->warmingUpUntil,
                         .excluded = tried || !this->isUsable(*leaf, now)});
     }
--- a/packages/gateway/src/leaf_directory.cpp
+++ b/packages/gateway/src/leaf_directory.cpp
@@ -175,6 +175,17 @@
     return *service;
 }
 
+auto LeafDirectory::inDataCentre(std::string_view dataCentre) const -> std::vector<std::shared_ptr<KnownLeaf>>
+{
+    auto found = std::vector<std::shared_ptr<KnownLeaf>>();
+    for (const auto &[id, leaf] : this->byId) {
+        if (leaf->entry.dataCentre == dataCentre) {
+            found.push_back(leaf);
+        }
+    }
+    return found;
+}
+
 auto LeafDirectory::size() const noexcept -> std::size_t
 {
     return this->byId.size();
