--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -1,5 +1,7 @@
 #include "tamarackspan/gateway/gateway_host.h"
 
+#include "impl/directory_event_name.h"
+
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/base/random.h"
 #include "tamarackspan/gateway/decisions/pause_detector.h"
@@ -67,23 +69,6 @@
     sigaction(SIGPIPE, &action, nullptr);
 }
 
-auto kindName(DirectoryEvent::Kind kind) -> std::string_view
-{
-    switch (kind) {
-    case DirectoryEvent::Kind::LeafAdded:
-        return "a leaf was added";
-    case DirectoryEvent::Kind::LeafChanged:
-        return "a leaf's entry has changed";
-    case DirectoryEvent::Kind::LeafDraining:
-        return "a leaf is about to leave";
-    case DirectoryEvent::Kind::LeafMissing:
-        return "a leaf's entry is missing";
-    case DirectoryEvent::Kind::LeafGone:
-        return "a leaf is gone";
-    }
-    return "unknown";
-}
-
 /// The parts of a running host, in the order in which they depend on each other.
 class Host
 {
@@ -441,7 +426,7 @@
     auto onDirectoryEvent(const DirectoryEvent &event) -> void
     {
         const auto &entry = event.leaf->entry;
-        this->log.info(kindName(event.kind),
+        this->log.info(impl::kindName(event.kind),
                        {{"leaf", entry.id},
                         {"service", entry.service},
                         {"address", transport::toString(entry.endpoint)},
