A store that is restored from an older copy rolls nothing back

Cause: hosts ordered what they read by revision only. A store that comes back from an older copy assigns revisions again: hosts took removed leafs from the copy and sent them requests.

Change: all knowledge is ordered by era and revision (follower, entries, statements). decisions/store_era.h decides on answers by their era, on entries of a copy, and on evacuations of a copy (not connected yet). A later era makes the follower read everything again with current reads; what a copy lacks stays for 5 s, removed leafs are remembered for an hour, and entries of a copy count once their leafs have written them again. For that, reads of changes contain repeated reports while a copy is being confirmed. Eras that other hosts state rule out earlier answers for 10 s at most; a store that answers with lower eras for 10 s counts as replaced.

--- a/packages/gateway/include/tamarackspan/gateway/document_follower.h
+++ b/packages/gateway/include/tamarackspan/gateway/document_follower.h
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/gateway/catalogue.h"
 #include "tamarackspan/gateway/decisions/revision_history.h"
+#include "tamarackspan/gateway/decisions/store_era.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/gateway/ports.h"
 #include "tamarackspan/logging/logger.h"
@@ -40,6 +41,8 @@
     absl::Duration retryDelay = absl::Milliseconds(300);
     /// Entries that expired while the store was unreachable may still be published again for this long after its return before their leafs are removed.
     absl::Duration republishGrace = absl::Milliseconds(2500);
+    /// What is done when the store comes back from an older copy.
+    EraSettings eras{};
 
     friend auto operator==(const FollowerSettings &, const FollowerSettings &) -> bool = default;
 };
@@ -57,7 +60,8 @@
 };
 
 /// Keeps the catalogue and the leafs' entries of a host up to date from a read-only document store, which may be unreachable and may lose its history of
-/// changes. The last known state stays in use while the store is unreachable.
+/// changes. The last known state stays in use while the store is unreachable. When the store comes back from an older copy, which its era shows, everything is
+/// read again, and nothing that is known is rolled back before leafs and operator had time to write it again.
 class DocumentFollower
 {
 public:
@@ -90,6 +94,9 @@
     /// Returns up to when all changes of the store are known; the infinite past before the first reads.
     [[nodiscard]] auto knownUntil() const -> absl::Time;
 
+    /// Returns the store's era; 0 before the first reply, and if the store states none.
+    [[nodiscard]] auto era() const noexcept -> std::uint64_t;
+
     /// Returns how many calls were made to the store.
     [[nodiscard]] auto calls() const noexcept -> std::uint64_t;
 
@@ -97,6 +104,8 @@
     [[nodiscard]] auto currentReads() const noexcept -> std::uint64_t;
 
 private:
+    using Step = void (DocumentFollower::*)();
+
     auto readCatalogue() -> void;
     auto watchCatalogue() -> void;
     auto readLeafs() -> void;
@@ -106,20 +115,33 @@
     auto onCatalogueReply(const DocumentReply &reply, std::uint64_t callMoves) -> void;
     /// Returns whether a reply with the newest catalogue comes from the store whose state is known.
     [[nodiscard]] auto isSameStore(const DocumentReply &reply) const -> bool;
-    auto onCatalogueChanges(const DocumentReply &reply) -> void;
+    /// Handles the reply to a call that was made in that round.
+    auto onCatalogueChanges(const DocumentReply &reply, std::uint64_t callRound) -> void;
     auto onLeafsReply(const DocumentReply &reply) -> void;
     auto onChangesReply(const DocumentReply &reply) -> void;
     auto apply(const DocumentChange &change) -> void;
     auto noteContact() -> void;
     auto noteFailure(const std::string &error) -> void;
-    auto scheduleStep(absl::Duration delay, void (DocumentFollower::*step)()) -> void;
+    /// Makes a step after a delay, unless everything is read again before.
+    auto scheduleStep(absl::Duration delay, Step step) -> void;
+    /// Returns the callback of a call in the sequence of listings and reads of changes. It passes the reply to `onReply`, unless everything is read again
+    /// meanwhile. If the reply doesn't count because of its era, it makes the step `again` after a delay.
+    auto replyTo(Step again, std::function<void(const DocumentReply &)> onReply) -> DocumentCalls::Callback;
+    /// Returns whether a reply counts, by its era. Begins to read everything again if its era is a new one.
+    auto isOfKnownEra(const DocumentReply &reply) -> bool;
+    /// Reads everything again in the era that is the known one from now on; `before` was it until now.
+    auto beginEra(std::uint64_t before, bool isReplaced) -> void;
+    /// Forgets an era that another host stated and the store didn't confirm, and logs the end of the grace period after a new era.
+    auto checkEra(absl::Time now) -> void;
+    /// Returns the point that a reply of the known era states.
+    [[nodiscard]] auto positionOf(const DocumentReply &reply) const -> census::StoreRevision;
     /// Returns whether a service that the newest catalogue has added has no known leafs and a fresh listing, which may show some, is due.
     [[nodiscard]] auto lacksLeafs(absl::Time now) const -> bool;
     /// Makes the next read of changes or leafs if one is due.
     auto readNext() -> void;
     [[nodiscard]] auto currentReadView() const -> CurrentReadView;
-    /// Records the revision that a current read, sent at `sentAt`, returned.
-    auto noteCurrentRead(std::uint64_t revision, absl::Time sentAt) -> void;
+    /// Records the point of the store's history that a current read, sent at `sentAt`, returned.
+    auto noteCurrentRead(const census::StoreRevision &at, absl::Time sentAt) -> void;
     /// Records a statement, and tells other hosts if it is new to this one.
     auto record(const census::RevisionStatement &statement, bool ownRead) -> void;
     /// Schedules the next read of changes or leafs: at once if a service lacks leafs.
@@ -127,7 +149,10 @@
     /// Runs a scheduled read at once if a service lacks leafs. Otherwise, when a new set of shards comes into force while cheap reads are stale, each query for
     /// it would be refused until the next read.
     auto expediteRead() -> void;
+    /// Returns when a leaf is removed whose entry was removed.
     [[nodiscard]] auto removalTime(absl::Time now) const -> absl::Time;
+    /// Returns when a leaf is removed that a listing lacks: a copy of the store may lack it too.
+    [[nodiscard]] auto missingRemovalTime(absl::Time now) const -> absl::Time;
 
     transport::EventLoop &loop;
     DocumentCalls store;
@@ -149,7 +174,16 @@
     /// How often the store's address has changed, and how many of these changes have been checked.
     std::uint64_t storeMoves = 0;
     std::uint64_t checkedMoves = 0;
-    std::uint64_t revision = 0;
+    /// Up to where all changes are known. Stays in the era before while everything is read again.
+    census::StoreRevision position{};
+    StoreEra storeEra{};
+    /// Counts the times at which everything began to be read again because of a new era.
+    std::uint64_t round = 0;
+    /// Whether replies were discarded since the last read of changes that counted: what they contained isn't known.
+    bool haveDiscarded = false;
+    bool inGrace = false;
+    bool warnedOfMissingEra = false;
+    bool warnedOfLowerEra = false;
     std::uint64_t callsMade = 0;
     std::string page;
     std::vector<std::string> listedIds;
--- a/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
@@ -27,6 +27,8 @@
     bool gone = false;
     /// When the leaf is removed unless an entry names it again; infinite while it has an entry.
     absl::Time removeAt = absl::InfiniteFuture();
+    /// The store's era in which its entry was last found missing.
+    std::uint64_t missingEra = 0;
     /// The leaf itself stated that it is about to stop; holds for this start of it, whatever its entry says.
     bool saidLeaving = false;
     /// Until then the leaf wants no requests from this host.
@@ -69,7 +71,12 @@
     /// The listener is called for each change, from within the calls below.
     explicit LeafDirectory(Listener listener);
 
-    /// Adds or updates the leaf that an entry names; an entry that was written before the known one is ignored.
+    /// Must be called when the store's era changes; `era` is that of the entries from now on. If it isn't a later one, what is known counts as being of the era
+    /// before it, or as written before all entries if there is none.
+    auto beginEra(std::uint64_t era) -> void;
+
+    /// Adds or updates the leaf that an entry names; an entry that was written before the known one is ignored. An entry of a new era is kept aside until it
+    /// counts, see entryCounts().
     auto put(const LeafEntry &entry, absl::Time now) -> void;
 
     /// Removes a leaf: at once if `removalTime` has come, else at `removalTime` unless an entry arrives before that.
@@ -98,6 +105,9 @@
     /// Returns how many leafs are known.
     [[nodiscard]] auto size() const noexcept -> std::size_t;
 
+    /// Returns how many leafs have an entry of the current era that doesn't count yet.
+    [[nodiscard]] auto unconfirmed() const noexcept -> std::size_t;
+
 private:
     /// What one start of a leaf stated about itself in its responses.
     struct StatedStart
@@ -108,7 +118,20 @@
         absl::Time backoffUntil = absl::InfinitePast();
     };
 
+    /// What is kept of a leaf whose entry was removed.
+    struct RemovedLeaf
+    {
+        LeafEntry entry{};
+        /// The store's era in which the entry was found missing.
+        std::uint64_t era = 0;
+        absl::Time at = absl::InfinitePast();
+    };
+
     auto detach(const std::shared_ptr<KnownLeaf> &leaf) -> void;
+    /// Returns whether an entry counts, given the leaf that is known under its id, if any; keeps it aside otherwise.
+    auto isConfirmed(const LeafEntry &entry, const KnownLeaf *leaf) -> bool;
+    /// Keeps what is known of a leaf that is removed now.
+    auto recordRemoval(const KnownLeaf &leaf, absl::Time now) -> void;
     /// Keeps what this start of the leaf stated, in place of what an earlier one did.
     auto recordStatements(const KnownLeaf &leaf, absl::Time now) -> void;
     auto applyStatements(KnownLeaf &leaf) const -> void;
@@ -118,6 +141,11 @@
     absl::flat_hash_map<std::string, std::unique_ptr<KnownService>> services;
     /// By the leaf's id; kept after the leaf is removed.
     absl::flat_hash_map<std::string, StatedStart> statedStarts;
+    std::uint64_t era = 0;
+    /// The last entry read in the current era of each leaf whose entry doesn't count yet.
+    absl::flat_hash_map<std::string, LeafEntry> unconfirmedEntries;
+    /// By the leaf's id: an older copy of the store may still contain its entry.
+    absl::flat_hash_map<std::string, RemovedLeaf> removedLeafs;
 };
 
 } // namespace tamarackspan::gateway
--- a/packages/gateway/include/tamarackspan/gateway/leaf_entry.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackspan/census/store_revision.h"
 #include "tamarackspan/transport/endpoint.h"
 
 #include "absl/time/time.h"
@@ -27,12 +28,17 @@
     std::int64_t startedAt = 0;
     /// Increases with each report since the start.
     std::uint64_t sequence = 0;
-    /// The store's revision at which the entry was written; orders all entries of a leaf, whatever its clock says.
+    /// The store's revision at which the entry was written. Within one era of the store it orders all entries of a leaf, whatever the leaf's clock says.
     std::uint64_t revision = 0;
+    /// The store's era in which the entry was read.
+    std::uint64_t era = 0;
 
     friend auto operator==(const LeafEntry &, const LeafEntry &) -> bool = default;
 };
 
+/// Returns the point of the store's history that orders an entry among all entries of its leaf.
+[[nodiscard]] auto positionOf(const LeafEntry &entry) noexcept -> census::StoreRevision;
+
 /// Returns whether two entries of a leaf describe the same start of it, with the same service and address.
 [[nodiscard]] auto isSameStart(const LeafEntry &one, const LeafEntry &other) -> bool;
 
--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -180,6 +180,8 @@
     std::uint64_t revision = 0;
     /// The store's era; nothing if the reply states none or one that isn't a number.
     std::optional<std::uint64_t> era{};
+    /// Whether the reply states an era that isn't a number.
+    bool hasUnreadableEra = false;
     /// The key after which the next page of a listing begins; empty on the last page.
     std::string nextPage{};
     /// Reason of a failure, for logs.
@@ -199,6 +201,8 @@
     std::function<void(const std::string &afterKey, bool fresh, absl::Duration timeout, Callback)> leafs;
     /// Returns all changes after a revision, of catalogue and leafs, without waiting. May be stale by seconds unless `fresh`, which costs more.
     std::function<void(std::uint64_t afterRevision, bool fresh, absl::Duration timeout, Callback)> changes;
+    /// Sets whether replies to `changes` contain each report of a leaf, also one that repeats the report read before it. May be empty.
+    std::function<void(bool)> setEveryReport{};
 };
 
 } // namespace tamarackspan::gateway
--- a/packages/gateway/include/tamarackspan/gateway/report_deduplicator.h
+++ b/packages/gateway/include/tamarackspan/gateway/report_deduplicator.h
@@ -12,9 +12,13 @@
 class ReportDeduplicator
 {
 public:
-    /// Records what is stored under a key. Returns whether it differs from the last value.
+    /// Records what is stored under a key. Returns whether it differs from the last value; always true while each report counts.
     auto recordIfNew(const std::string &key, std::uint64_t fingerprint) -> bool;
 
+    /// Sets whether each report counts as new. After the store has come back from an older copy, a report that repeats the one before shows that the leaf has
+    /// written its entry since.
+    auto setEveryReport(bool every) -> void;
+
     /// Forgets one key, so that its next value counts as new.
     auto forget(const std::string &key) -> void;
 
@@ -22,6 +26,7 @@
     auto clear() -> void;
 
 private:
+    bool everyReport = false;
     absl::flat_hash_map<std::string, std::uint64_t> fingerprints;
 };
 
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -370,9 +370,10 @@
         if (message.target.starts_with("/metrics")) {
             auto body = metrics::toPrometheus(this->registry.snapshot());
             absl::StrAppend(&body, "tamarackspan_leaf_connections_opened_total ", this->client.connectionsOpened(), "\n", "tamarackspan_store_calls_total ",
-                            this->follower.calls(), "\n", "tamarackspan_store_current_reads_total ", this->follower.currentReads(), "\n", this->knowledgeAge(),
-                            "tamarackspan_requests_under_way ", this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ", this->directory.size(), "\n",
-                            "tamarackspan_known_hosts ", this->census.quotaHostCount(base::monotonicNow()), "\n");
+                            this->follower.calls(), "\n", "tamarackspan_store_current_reads_total ", this->follower.currentReads(), "\n",
+                            "tamarackspan_store_era ", this->follower.era(), "\n", this->knowledgeAge(), "tamarackspan_requests_under_way ",
+                            this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ", this->directory.size(), "\n", "tamarackspan_known_hosts ",
+                            this->census.quotaHostCount(base::monotonicNow()), "\n");
             this->monitoringServer.answer(id, {.status = 200, .headers = {{"Content-Type", metrics::prometheusContentType}}, .body = std::move(body)});
             return;
         }
--- a/packages/gateway/src/leaf_directory.cpp
+++ b/packages/gateway/src/leaf_directory.cpp
@@ -1,5 +1,7 @@
 #include "tamarackspan/gateway/leaf_directory.h"
 
+#include "tamarackspan/gateway/decisions/store_era.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -10,8 +12,10 @@
 
 namespace {
 
-/// How long what a removed leaf stated is kept: no listing of the store is that old.
-constexpr auto statementMemory = absl::Hours(1);
+/// How long what a removed leaf stated, and that it was removed, is kept: neither a listing of the store nor a copy of it is that old.
+constexpr auto removalMemory = absl::Hours(1);
+/// The removed leafs that are kept at most: several times as many as the largest deployment has leafs.
+constexpr auto maxRemovedLeafs = std::size_t{4096};
 
 } // namespace
 
@@ -20,10 +24,15 @@
     return !leaf.entry.draining && !leaf.saidLeaving && now >= leaf.backoffUntil;
 }
 
+auto positionOf(const LeafEntry &entry) noexcept -> census::StoreRevision
+{
+    return {.era = entry.era, .revision = entry.revision};
+}
+
 auto isSameStart(const LeafEntry &one, const LeafEntry &other) -> bool
 {
     // Reports count anew from each start, so that a later entry with a lower number is another start's, whatever the clocks say.
-    const auto countsOn = one.revision <= other.revision ? one.sequence <= other.sequence : other.sequence <= one.sequence;
+    const auto countsOn = positionOf(one) <= positionOf(other) ? one.sequence <= other.sequence : other.sequence <= one.sequence;
     return one.startedAt == other.startedAt && one.service == other.service && one.endpoint == other.endpoint && countsOn;
 }
 
@@ -32,13 +41,39 @@
 {
 }
 
+auto LeafDirectory::beginEra(std::uint64_t next) -> void
+{
+    if (next <= this->era) {
+        const auto restamp = [next](LeafEntry &entry) {
+            entry.era = next == 0 ? 0 : next - 1;
+            entry.revision = next == 0 ? 0 : entry.revision;
+        };
+        for (const auto &[id, leaf] : this->byId) {
+            restamp(leaf->entry);
+            leaf->missingEra = leaf->entry.era;
+        }
+        for (auto &[id, start] : this->statedStarts) {
+            restamp(start.entry);
+        }
+        for (auto &[id, removed] : this->removedLeafs) {
+            restamp(removed.entry);
+            removed.era = removed.entry.era;
+        }
+    }
+    this->era = next;
+    this->unconfirmedEntries.clear();
+}
+
 auto LeafDirectory::put(const LeafEntry &entry, absl::Time now) -> void
 {
     const auto found = this->byId.find(entry.id);
-    if (found != this->byId.end() && entry.revision < found->second->entry.revision) {
+    if (found != this->byId.end() && positionOf(entry) < positionOf(found->second->entry)) {
         // From a stale read.
         return;
     }
+    if (!this->isConfirmed(entry, found == this->byId.end() ? nullptr : found->second.get())) {
+        return;
+    }
     if (found != this->byId.end() && isSameStart(found->second->entry, entry)) {
         const auto leaf = found->second;
         const auto changed = leaf->entry.slots != entry.slots || leaf->removeAt != absl::InfiniteFuture();
@@ -70,11 +105,13 @@
 
 auto LeafDirectory::remove(const std::string &id, absl::Time now, absl::Time removalTime) -> void
 {
+    this->unconfirmedEntries.erase(id);
     const auto found = this->byId.find(id);
     if (found == this->byId.end()) {
         return;
     }
     const auto leaf = found->second;
+    leaf->missingEra = this->era;
     if (removalTime > now) {
         if (leaf->removeAt == absl::InfiniteFuture()) {
             leaf->removeAt = removalTime;
@@ -82,6 +119,7 @@
         }
         return;
     }
+    this->recordRemoval(*leaf, now);
     this->byId.erase(found);
     this->detach(leaf);
 }
@@ -89,6 +127,9 @@
 auto LeafDirectory::keepOnly(const std::vector<std::string> &ids, absl::Time now, absl::Time removalTime) -> void
 {
     const auto kept = std::unordered_set<std::string_view>(ids.begin(), ids.end());
+    absl::erase_if(this->unconfirmedEntries, [&kept](const auto &entry) {
+        return !kept.contains(entry.first);
+    });
     auto missing = std::vector<std::string>();
     for (const auto &[id, leaf] : this->byId) {
         if (!kept.contains(id)) {
@@ -110,10 +151,17 @@
         }
     }
     for (const auto &id : expired) {
-        this->remove(id, now, now);
+        // An entry that doesn't count yet, and the era in which the leaf was found missing, must not be lost with it.
+        const auto leaf = this->byId.at(id);
+        this->recordRemoval(*leaf, now);
+        this->byId.erase(id);
+        this->detach(leaf);
     }
+    absl::erase_if(this->removedLeafs, [now](const auto &leaf) {
+        return now - leaf.second.at > removalMemory;
+    });
     absl::erase_if(this->statedStarts, [this, now](const auto &start) {
-        return now - start.second.notedAt > statementMemory && !this->byId.contains(start.first);
+        return now - start.second.notedAt > removalMemory && !this->byId.contains(start.first);
     });
 }
 
@@ -148,7 +196,7 @@
 auto LeafDirectory::recordStatements(const KnownLeaf &leaf, absl::Time now) -> void
 {
     auto &start = this->statedStarts[leaf.entry.id];
-    if (leaf.entry.revision >= start.entry.revision) {
+    if (positionOf(leaf.entry) >= positionOf(start.entry)) {
         start = StatedStart{.entry = leaf.entry, .notedAt = now, .leaving = leaf.saidLeaving, .backoffUntil = leaf.backoffUntil};
     }
 }
@@ -161,7 +209,7 @@
     }
     const auto &start = found->second;
     const auto same = isSameStart(start.entry, leaf.entry);
-    leaf.saidLeaving = start.leaving && (same || leaf.entry.revision < start.entry.revision);
+    leaf.saidLeaving = start.leaving && (same || positionOf(leaf.entry) < positionOf(start.entry));
     leaf.backoffUntil = same ? start.backoffUntil : absl::InfinitePast();
 }
 
@@ -180,6 +228,40 @@
     return this->byId.size();
 }
 
+auto LeafDirectory::unconfirmed() const noexcept -> std::size_t
+{
+    return this->unconfirmedEntries.size();
+}
+
+auto LeafDirectory::isConfirmed(const LeafEntry &entry, const KnownLeaf *leaf) -> bool
+{
+    const auto removed = this->removedLeafs.find(entry.id);
+    const auto isRemoved = leaf == nullptr && removed != this->removedLeafs.end() && removed->second.era < entry.era;
+    if (isRemoved || (leaf != nullptr && leaf->entry.era < entry.era)) {
+        const auto &known = isRemoved ? removed->second.entry : leaf->entry;
+        const auto seen = this->unconfirmedEntries.find(entry.id);
+        if (!entryCounts(known, isRemoved, seen == this->unconfirmedEntries.end() ? nullptr : &seen->second, entry)) {
+            if (seen == this->unconfirmedEntries.end() || positionOf(seen->second) <= positionOf(entry)) {
+                this->unconfirmedEntries[entry.id] = entry;
+            }
+            return false;
+        }
+    }
+    this->unconfirmedEntries.erase(entry.id);
+    this->removedLeafs.erase(entry.id);
+    return true;
+}
+
+auto LeafDirectory::recordRemoval(const KnownLeaf &leaf, absl::Time now) -> void
+{
+    if (this->removedLeafs.size() >= maxRemovedLeafs) {
+        this->removedLeafs.erase(std::ranges::min_element(this->removedLeafs, {}, [](const auto &removed) {
+            return removed.second.at;
+        }));
+    }
+    this->removedLeafs[leaf.entry.id] = {.entry = leaf.entry, .era = leaf.missingEra, .at = now};
+}
+
 auto LeafDirectory::detach(const std::shared_ptr<KnownLeaf> &leaf) -> void
 {
     if (std::exchange(leaf->gone, true)) {
--- a/packages/gateway/src/report_deduplicator.cpp
+++ b/packages/gateway/src/report_deduplicator.cpp
@@ -6,12 +6,17 @@
 {
     const auto [place, isNew] = this->fingerprints.try_emplace(key, fingerprint);
     if (!isNew && place->second == fingerprint) {
-        return false;
+        return this->everyReport;
     }
     place->second = fingerprint;
     return true;
 }
 
+auto ReportDeduplicator::setEveryReport(bool every) -> void
+{
+    this->everyReport = every;
+}
+
 auto ReportDeduplicator::forget(const std::string &key) -> void
 {
     this->fingerprints.erase(key);
--- a/packages/gateway/tests/directory_test.cpp
+++ b/packages/gateway/tests/directory_test.cpp
@@ -184,6 +184,121 @@
     EXPECT_TRUE(acceptsRequests(*this->directory.service("shard-1").leafs.front(), now));
 }
 
+/// Returns an entry as it is read in an era.
+auto entryIn(std::uint64_t era, std::uint64_t revision, std::uint64_t sequence) -> LeafEntry
+{
+    auto entry = entryOf("a", 1);
+    entry.era = era;
+    entry.revision = revision;
+    entry.sequence = sequence;
+    return entry;
+}
+
+// A copy that predates a drain made the leaf ready again.
+TEST_F(LeafDirectoryTest, ADrainingLeafIsNotReadyAgainByAnEntryOfACopy)
+{
+    this->directory.beginEra(1);
+    auto draining = entryIn(1, 100, 9);
+    draining.draining = true;
+    this->directory.put(draining, now);
+    this->directory.beginEra(2);
+    this->directory.put(entryIn(2, 80, 7), now);
+    this->directory.put(entryIn(2, 80, 7), now);
+    EXPECT_TRUE(this->directory.service("shard-1").leafs.front()->entry.draining);
+    EXPECT_EQ(this->directory.unconfirmed(), 1);
+    // The leaf has written its entry since.
+    auto again = entryIn(2, 81, 10);
+    again.draining = true;
+    this->directory.put(again, now);
+    EXPECT_EQ(this->directory.unconfirmed(), 0);
+    EXPECT_EQ(this->directory.service("shard-1").leafs.front()->entry, again);
+    EXPECT_EQ(this->events, std::vector{Kind::LeafAdded});
+}
+
+// By revision alone, a drain that was written at a revision that had been assigned before was ignored for good.
+TEST_F(LeafDirectoryTest, ADrainThatIsWrittenAtALowerRevisionOfALaterEraCounts)
+{
+    this->directory.put(entryIn(0, 100, 9), now);
+    this->directory.beginEra(1);
+    auto draining = entryIn(1, 90, 10);
+    draining.draining = true;
+    this->directory.put(draining, now);
+    EXPECT_TRUE(this->directory.service("shard-1").leafs.front()->entry.draining);
+    // What is read late of the era before is older.
+    this->directory.put(entryIn(0, 120, 9), now);
+    EXPECT_TRUE(this->directory.service("shard-1").leafs.front()->entry.draining);
+}
+
+// The entry of a leaf that has crashed or left came back with the copy.
+TEST_F(LeafDirectoryTest, ARemovedLeafIsNotAddedFromACopyUntilItHasWrittenAgain)
+{
+    this->directory.beginEra(1);
+    this->directory.put(entryIn(1, 20, 2), now);
+    this->directory.remove("a", now, now);
+    this->directory.beginEra(2);
+    this->directory.put(entryIn(2, 80, 48), now);
+    EXPECT_EQ(this->directory.size(), 0);
+    EXPECT_EQ(this->directory.unconfirmed(), 1);
+    this->directory.keepOnly({"a"}, now, now);
+    this->directory.expire(now + absl::Minutes(59));
+    this->directory.put(entryIn(2, 90, 48), now);
+    EXPECT_EQ(this->directory.size(), 0);
+    this->directory.put(entryIn(2, 91, 49), now);
+    EXPECT_EQ(this->directory.size(), 1);
+    EXPECT_EQ(this->directory.unconfirmed(), 0);
+}
+
+TEST_F(LeafDirectoryTest, ALeafThatIsRemovedWhileItsCopiedEntryIsKeptAsideStaysRemoved)
+{
+    this->directory.beginEra(1);
+    this->directory.put(entryIn(1, 20, 9), now);
+    this->directory.remove("a", now, now + absl::Seconds(2));
+    this->directory.beginEra(2);
+    this->directory.put(entryIn(2, 80, 8), now + absl::Seconds(1));
+    this->directory.expire(now + absl::Seconds(2));
+    this->directory.put(entryIn(2, 80, 8), now + absl::Seconds(3));
+    EXPECT_EQ(this->directory.size(), 0);
+    this->directory.put(entryIn(2, 81, 10), now + absl::Seconds(3));
+    EXPECT_EQ(this->directory.size(), 1);
+}
+
+// Whoever is removed and added again within one era is known by its entry alone, as without eras.
+TEST_F(LeafDirectoryTest, ALeafThatIsRemovedAndAddedWithinOneEraNeedsNoConfirmation)
+{
+    this->directory.beginEra(2);
+    this->directory.put(entryIn(2, 20, 9), now);
+    this->directory.remove("a", now, now);
+    this->directory.put(entryIn(2, 21, 1), now);
+    EXPECT_EQ(this->directory.size(), 1);
+}
+
+TEST_F(LeafDirectoryTest, ALeafThatACopyLacksStaysUntilTheEndOfTheGracePeriod)
+{
+    this->directory.beginEra(1);
+    this->directory.put(entryIn(1, 100, 3), now);
+    this->directory.beginEra(2);
+    this->directory.keepOnly({}, now, now + absl::Seconds(5));
+    this->directory.expire(now + absl::Seconds(4));
+    EXPECT_EQ(this->directory.size(), 1);
+    this->directory.put(entryIn(2, 81, 4), now + absl::Seconds(4));
+    this->directory.expire(now + absl::Seconds(6));
+    EXPECT_EQ(this->directory.size(), 1);
+}
+
+TEST_F(LeafDirectoryTest, EntriesOfAReplacedStoreCountAsThoseOfALaterEra)
+{
+    for (const auto era : {std::uint64_t{3}, std::uint64_t{0}}) {
+        auto replaced = LeafDirectory([](const DirectoryEvent &) {});
+        replaced.beginEra(7);
+        auto known = entryIn(7, 900, 5);
+        known.draining = true;
+        replaced.put(known, now);
+        replaced.beginEra(era);
+        replaced.put(entryIn(era, 10, 6), now);
+        EXPECT_EQ(replaced.service("shard-1").leafs.front()->entry, entryIn(era, 10, 6));
+    }
+}
+
 /// Leafs that start, report, drain and end while their clocks jump, the store that records it, and a directory that reads the store late and out of order.
 struct SteppedClocks
 {
--- a/packages/gateway/tests/report_memory_test.cpp
+++ b/packages/gateway/tests/report_memory_test.cpp
@@ -27,4 +27,15 @@
     EXPECT_TRUE(reports.recordIfNew("b", 1));
 }
 
+// Without them nothing shows that a leaf has written its entry since the store was restored.
+TEST(ReportDeduplicator, LetsRepeatedReportsThroughWhileEachCounts)
+{
+    auto deduplicator = ReportDeduplicator();
+    EXPECT_TRUE(deduplicator.recordIfNew("a", 1));
+    deduplicator.setEveryReport(true);
+    EXPECT_TRUE(deduplicator.recordIfNew("a", 1));
+    deduplicator.setEveryReport(false);
+    EXPECT_FALSE(deduplicator.recordIfNew("a", 1));
+}
+
 } // namespace
--- a/packages/gateway/tests/revision_history_test.cpp
+++ b/packages/gateway/tests/revision_history_test.cpp
@@ -46,6 +46,16 @@
     EXPECT_TRUE(history.record({.reader = 1, .read = 2, .position = {.revision = 11}, .currentAt = start + step * 2}, step));
 }
 
+// After a restore revisions are assigned again: a greater one of an earlier era tells nothing about the later era.
+TEST(RevisionHistory, OrdersByEraBeforeRevision)
+{
+    auto history = RevisionHistory();
+    EXPECT_TRUE(history.record({.reader = 1, .read = 1, .position = {.era = 2, .revision = 10}, .currentAt = start}, step));
+    EXPECT_EQ(history.knownUntil({.era = 1, .revision = 1000}), absl::InfinitePast());
+    EXPECT_EQ(history.knownUntil({.era = 2, .revision = 10}), start);
+    EXPECT_EQ(history.knownUntil({.era = 3, .revision = 1}), start);
+}
+
 TEST(RevisionHistory, StaysBounded)
 {
     auto history = RevisionHistory();
