--- a/packages/gateway/include/tamarackspan/gateway/decisions/evacuation_table.h
+++ b/packages/gateway/include/tamarackspan/gateway/decisions/evacuation_table.h
@@ -62,6 +62,10 @@
     std::vector<census::EvacuationStatement> items{};
     /// The point of the store's history that the read shows if it returned all items that exist; nothing if it returned changes.
     std::optional<census::StoreRevision> listedAt{};
+    /// Whether the listing may show an older copy from which the store was restored: it adds what isn't known and changes nothing else.
+    bool fromCopy = false;
+    /// Whether the store was replaced: its positions can't be compared with the known ones, and any later reading counts.
+    bool storeReplaced = false;
 
     friend auto operator==(const EvacuationReading &, const EvacuationReading &) -> bool = default;
 };
--- a/packages/gateway/src/decisions/evacuation_table.cpp
+++ b/packages/gateway/src/decisions/evacuation_table.cpp
@@ -55,8 +55,16 @@
 auto afterReading(EvacuationTable table, const EvacuationReading &reading, absl::Time now) -> EvacuationStep
 {
     auto step = EvacuationStep{.next = std::move(table)};
+    if (reading.storeReplaced) {
+        for (auto &[dataCentre, record] : step.next) {
+            record = {.own = {.evacuated = effectiveState(record).evacuated}, .returningSince = record.returningSince};
+        }
+    }
     for (const auto &item : reading.items) {
         const auto found = step.next.find(item.dataCentre);
+        if (reading.fromCopy && found != step.next.end()) {
+            continue;
+        }
         auto record = found == step.next.end() ? EvacuationRecord() : found->second;
         if (item.since > record.own.since) {
             record.own = {.evacuated = item.evacuated, .since = item.since};
@@ -66,7 +74,7 @@
         }
         update(step, item.dataCentre, std::move(record), now);
     }
-    if (!reading.listedAt.has_value()) {
+    if (!reading.listedAt.has_value() || reading.fromCopy) {
         return step;
     }
     auto missing = std::vector<std::string>();
--- a/packages/gateway/tests/evacuation_follower_test.cpp
+++ b/packages/gateway/tests/evacuation_follower_test.cpp
@@ -63,13 +63,13 @@
                                  .listedAt = census::StoreRevision{.era = era, .revision = 10}}));
     (*store.watch)({.outcome = DocumentReply::Outcome::Ok, .changes = {EvacuationItem{.dataCentre = "b", .evacuated = true, .revision = 11}}, .revision = 11});
     ASSERT_EQ(readings.size(), 2);
-    EXPECT_EQ(readings[1], (EvacuationReading{.items = {{.dataCentre = "b", .evacuated = true, .since = {.revision = 11}}}}));
+    EXPECT_EQ(readings[1], (EvacuationReading{.items = {{.dataCentre = "b", .evacuated = true, .since = {.era = era, .revision = 11}}}}));
     loop.runAt(base::monotonicNow() + absl::Milliseconds(200), [&loop] {
         loop.stop();
     });
     loop.run();
     ASSERT_GE(readings.size(), 3);
-    EXPECT_EQ(readings[2], (EvacuationReading{.items = {{.dataCentre = "a", .evacuated = false, .since = {.revision = 12}}}}));
+    EXPECT_EQ(readings[2], (EvacuationReading{.items = {{.dataCentre = "a", .evacuated = false, .since = {.era = era, .revision = 12}}}}));
 }
 
 } // namespace
--- a/packages/gateway/tests/evacuation_table_test.cpp
+++ b/packages/gateway/tests/evacuation_table_test.cpp
@@ -200,4 +200,34 @@
     EXPECT_FALSE(distanceCounts(this->table, options, start + absl::Hours(1)));
 }
 
+// A restored store would end an evacuation that its copy lacks, or repeat one that was withdrawn after the copy was made.
+TEST_F(EvacuationTableTest, ACopyAddsWhatIsNotKnownAndChangesNothingElse)
+{
+    this->read({.items = {item("a", true, 10), item("b", true, 11)}});
+    this->read({.items = {item("b", false, 12)}});
+    const auto at = census::StoreRevision{.era = 1, .revision = 5};
+    const auto copied = [&at](const std::string &dataCentre) {
+        return census::EvacuationStatement{.dataCentre = dataCentre, .evacuated = true, .since = at};
+    };
+    this->read({.items = {copied("b"), copied("c")}, .listedAt = at, .fromCopy = true});
+    EXPECT_TRUE(this->evacuated("a"));
+    EXPECT_FALSE(this->evacuated("b"));
+    EXPECT_TRUE(this->evacuated("c"));
+    // After the grace period the same listing counts in full.
+    this->read({.items = {copied("b"), copied("c")}, .listedAt = at});
+    EXPECT_FALSE(this->evacuated("a"));
+    EXPECT_TRUE(this->evacuated("b"));
+    EXPECT_TRUE(this->evacuated("c"));
+}
+
+// The positions of a replaced store may all be lower, so that its withdrawals would be ignored for good.
+TEST_F(EvacuationTableTest, AReplacedStoreIsBelievedWhateverItsPositions)
+{
+    this->read({.items = {item("a", true, 1000)}});
+    this->read({.storeReplaced = true});
+    EXPECT_TRUE(this->evacuated("a"));
+    this->read({.items = {item("a", false, 3)}});
+    EXPECT_FALSE(this->evacuated("a"));
+}
+
 } // namespace
