Limit requests to cold leafs over all hosts

Cause: warmup_per_s of a service was not read. A leaf that came back cold got its full share of requests. Change: each host has one permission in each period, without messages between hosts (decisions/warm_up_decision.h). A leaf whose connections fail is assumed to be cold until a later entry.

--- a/packages/census/include/tamarackspan/census/host_census.h
+++ b/packages/census/include/tamarackspan/census/host_census.h
@@ -187,8 +187,11 @@
     /// Returns the number of hosts, this one included, that global limits are divided among.
     [[nodiscard]] auto quotaHostCount(absl::Time now) const -> std::size_t;
 
-    /// Returns how many of those hosts are coordinators; see countCoordinators(). Among hosts that others count and this one doesn't know yet, the same
-    /// proportion is assumed.
+    /// Returns the number of hosts, this one included, that were heard in the last hour, whether they are reachable or not.
+    [[nodiscard]] auto knownHostCount() const noexcept -> std::size_t;
+
+    /// Returns how many of those that global limits are divided among are coordinators; see countCoordinators(). Among hosts that others count and this one
+    /// doesn't know yet, the same proportion is assumed.
     [[nodiscard]] auto coordinatorCount(absl::Time now) const -> std::size_t;
 
     /// Returns whether this host is a coordinator, judged by all hosts that global limits are divided among, whether they are reachable or not.
--- a/packages/census/src/host_census.cpp
+++ b/packages/census/src/host_census.cpp
@@ -293,6 +293,11 @@
     return this->isSettled(now) ? known : std::max(known, this->options.assumedHosts);
 }
 
+auto HostCensus::knownHostCount() const noexcept -> std::size_t
+{
+    return this->hosts.size();
+}
+
 auto HostCensus::coordinatorCount(absl::Time now) const -> std::size_t
 {
     const auto known = this->heardWithin(this->options.quotaRetention, now);
--- a/packages/gateway/include/tamarackspan/gateway/catalogue.h
+++ b/packages/gateway/include/tamarackspan/gateway/catalogue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "tamarackspan/gateway/decisions/warm_up_decision.h"
+
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
@@ -55,6 +57,7 @@
 {
     /// Maximum number of connections to one leaf, of all hosts together.
     std::uint32_t maxConnections = 1;
+    WarmUpLimit warmUp{};
 
     friend auto operator==(const ServiceOptions &, const ServiceOptions &) -> bool = default;
 };
--- a/packages/gateway/include/tamarackspan/gateway/gateway.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway.h
@@ -24,8 +24,11 @@
 /// Settings of a gateway.
 struct GatewaySettings
 {
+    /// This host's name, unlike that of any other host.
+    std::string hostName{};
     std::string dataCentre{};
     ExtraRequestOptions extraRequests{};
+    WarmUpBounds warmUp{};
     /// An answer must be sent this long before the objective, to leave time for merging and writing it; the network time to and from the caller comes on top.
     absl::Duration answerMargin = absl::Milliseconds(4);
     /// The port on which hosts of the same data centre accept forwarded queries from each other.
@@ -41,7 +44,9 @@
     std::size_t quotaHostCount = 1;
     /// How many of them are coordinators: they send queries over shards to leafs themselves instead of forwarding them.
     std::size_t coordinatorCount = 1;
-    /// Whether both counts are only assumed, since this host has just started.
+    /// The greatest number of hosts that may send requests to a cold leaf: those that share limits, or those known in the last hour.
+    std::size_t warmUpHostCount = 1;
+    /// Whether these counts are only assumed, since this host has just started.
     bool countsAssumed = false;
     /// Whether this host is a coordinator by its capacity.
     bool isCoordinator = true;
@@ -83,6 +88,9 @@
     /// Sets the limits on extra requests to leafs from now on.
     auto setExtraRequests(const ExtraRequestOptions &options) -> void;
 
+    /// Sets the bound on requests to cold leafs from now on.
+    auto setWarmUpBounds(const WarmUpBounds &bounds) -> void;
+
     /// Makes a catalogue effective for the requests that arrive from now on.
     auto setCatalogue(std::shared_ptr<const Catalogue> catalogue) -> void;
 
@@ -102,6 +110,9 @@
     /// Gives the requests that wait for a connection to a draining leaf to other leafs; refuses them if there are none.
     auto onLeafDraining(const KnownLeaf &leaf) -> void;
 
+    /// Gives the requests that wait for a connection to a leaf that has become cold to other leafs.
+    auto onLeafCold(const KnownLeaf &leaf) -> void;
+
     /// Closes the connections to a leaf that is gone, so that nothing more is sent to it.
     auto onLeafGone(const KnownLeaf &leaf) -> void;
 
--- a/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
+++ b/packages/gateway/include/tamarackspan/gateway/leaf_directory.h
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/gateway/decisions/extra_request_budget.h"
 #include "tamarackspan/gateway/decisions/replica_choice.h"
+#include "tamarackspan/gateway/decisions/warm_up_decision.h"
 #include "tamarackspan/gateway/leaf_entry.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -31,8 +32,19 @@
     bool saidLeaving = false;
     /// Until then the leaf wants no requests from this host.
     absl::Time backoffUntil = absl::InfinitePast();
+    /// Since a connection to it failed at the first of these times, the leaf is assumed to be cold until the second, or until its entry says otherwise.
+    absl::Time coldAssumedAt = absl::InfinitePast();
+    absl::Time coldAssumedUntil = absl::InfinitePast();
+    /// When this host last used its permission to send the leaf a request while it is cold.
+    absl::Time warmUpUsedAt = absl::InfinitePast();
 };
 
+/// An entry that arrives sooner than this after a failed connection may have been written before it: entries are read about every second.
+inline constexpr auto maxEntryDelay = absl::Seconds(2);
+
+/// Returns whether a leaf is cold, by its entry or by assumption.
+[[nodiscard]] auto isCold(const KnownLeaf &leaf, absl::Time now) noexcept -> bool;
+
 /// Returns whether new requests may be sent to a leaf, as far as the leaf itself has said.
 [[nodiscard]] auto acceptsRequests(const KnownLeaf &leaf, absl::Time now) noexcept -> bool;
 
@@ -44,6 +56,8 @@
     ExtraRequestBudget extraRequests{};
     /// Where the next choice among equal leafs begins.
     std::size_t roundRobinStart = 0;
+    /// By the newest catalogue.
+    WarmUpLimit warmUp{};
 };
 
 /// A change that the directory reports to its listener.
@@ -53,6 +67,8 @@
         LeafAdded,
         LeafChanged,
         LeafDraining,
+        /// Only if the leaf's service limits the requests to cold leafs.
+        LeafCold,
         LeafMissing,
         LeafGone,
     };
@@ -92,6 +108,10 @@
     /// meanwhile. Returns whether that extends the time that was known.
     auto backOff(const std::shared_ptr<KnownLeaf> &leaf, absl::Time until, absl::Time now) -> bool;
 
+    /// Records that connections to a leaf fail, so that it may have started again: if its service limits the requests to cold leafs, it is assumed to be cold
+    /// for as long as leafs of the service are, unless an entry that was written later states otherwise.
+    auto assumeCold(const std::shared_ptr<KnownLeaf> &leaf, absl::Time now) -> void;
+
     /// Returns the service of that name, created empty on first use. The reference stays valid.
     [[nodiscard]] auto service(const std::string &name) -> KnownService &;
 
@@ -109,6 +129,7 @@
     };
 
     auto detach(const std::shared_ptr<KnownLeaf> &leaf) -> void;
+    auto reportCold(const std::shared_ptr<KnownLeaf> &leaf) -> void;
     /// Keeps what this start of the leaf stated, in place of what an earlier one did.
     auto recordStatements(const KnownLeaf &leaf, absl::Time now) -> void;
     auto applyStatements(KnownLeaf &leaf) const -> void;
--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -199,6 +199,8 @@
     std::function<void(const std::string &afterKey, bool fresh, absl::Duration timeout, Callback)> leafs;
     /// Returns all changes after a revision, of catalogue and leafs, without waiting. May be stale by seconds unless `fresh`, which costs more.
     std::function<void(std::uint64_t afterRevision, bool fresh, absl::Duration timeout, Callback)> changes;
+    /// Makes the replies contain the next entry of a leaf also if it differs from the last only in its sequence; may be empty.
+    std::function<void(const std::string &leafId)> forgetLeaf{};
 };
 
 } // namespace tamarackspan::gateway
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -33,6 +33,8 @@
     this->core->extraRequests = metrics.counter({.metric = "tamarackspan_extra_leaf_requests_total", .labels = {}});
     this->core->leavingNotices = metrics.counter({.metric = "tamarackspan_leaf_leaving_notices_total", .labels = {}});
     this->core->backoffNotices = metrics.counter({.metric = "tamarackspan_leaf_backoff_notices_total", .labels = {}});
+    this->core->coldLeafs = metrics.counter({.metric = "tamarackspan_cold_leafs_total", .labels = {}});
+    this->core->coldLeafsAvoided = metrics.counter({.metric = "tamarackspan_cold_leafs_avoided_total", .labels = {}});
     this->core->foreignAnswers = metrics.counter({.metric = "tamarackspan_foreign_leaf_answers_total", .labels = {}});
     this->core->callersDisconnected = metrics.counter({.metric = "tamarackspan_callers_left_total", .labels = {}});
 }
@@ -52,6 +54,11 @@
     this->core->settings.extraRequests = options;
 }
 
+auto Gateway::setWarmUpBounds(const WarmUpBounds &bounds) -> void
+{
+    this->core->settings.warmUp = bounds;
+}
+
 auto Gateway::setCatalogue(std::shared_ptr<const Catalogue> catalogue) -> void
 {
     this->core->publish(std::move(catalogue));
@@ -97,6 +104,12 @@
     this->core->client.rejectQueued(leaf.pool);
 }
 
+auto Gateway::onLeafCold(const KnownLeaf &leaf) -> void
+{
+    this->core->metrics.add(this->core->coldLeafs);
+    this->core->client.rejectQueued(leaf.pool);
+}
+
 auto Gateway::onLeafGone(const KnownLeaf &leaf) -> void
 {
     this->core->client.closePool(leaf.pool);
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -74,6 +74,8 @@
         return "a leaf's entry has changed";
     case DirectoryEvent::Kind::LeafDraining:
         return "a leaf is about to leave";
+    case DirectoryEvent::Kind::LeafCold:
+        return "a leaf is cold; the requests to it are limited";
     case DirectoryEvent::Kind::LeafMissing:
         return "a leaf's entry is missing";
     case DirectoryEvent::Kind::LeafGone:
@@ -226,6 +228,7 @@
             this->neighbourhoodAt = now;
             this->neighbourhood = {.quotaHostCount = this->census.quotaHostCount(now),
                                    .coordinatorCount = this->census.coordinatorCount(now),
+                                   .warmUpHostCount = std::max(this->census.quotaHostCount(now), this->census.knownHostCount()),
                                    .countsAssumed = !this->census.isSettled(now),
                                    .isCoordinator = this->census.isCoordinator(now),
                                    .forwardingTargets = this->census.forwardingTargets(now)};
@@ -406,9 +409,30 @@
             this->gateway.onLeafGone(*event.leaf);
         } else if (event.kind == DirectoryEvent::Kind::LeafDraining) {
             this->gateway.onLeafDraining(*event.leaf);
+        } else if (event.kind == DirectoryEvent::Kind::LeafCold) {
+            this->gateway.onLeafCold(*event.leaf);
+            if (this->entriesAwaited.insert(event.leaf).second) {
+                this->readEntryAgain(event.leaf);
+            }
         }
     }
 
+    /// While a leaf is only assumed to be cold, makes sure that its next entry is read also if it is the same as before.
+    auto readEntryAgain(const std::shared_ptr<KnownLeaf> &leaf) -> void
+    {
+        const auto now = base::monotonicNow();
+        if (leaf->gone || now >= leaf->coldAssumedUntil || !this->ports.documents.forgetLeaf) {
+            this->entriesAwaited.erase(leaf);
+            return;
+        }
+        if (now >= leaf->coldAssumedAt + maxEntryDelay) {
+            this->ports.documents.forgetLeaf(leaf->entry.id);
+        }
+        this->loop.runAt(now + maxEntryDelay, [this, leaf] {
+            this->readEntryAgain(leaf);
+        });
+    }
+
     auto onCatalogue(std::shared_ptr<const Catalogue> catalogue) -> void
     {
         const auto &limits = catalogue->limits;
@@ -450,6 +474,7 @@
         this->settings = change->settings;
         this->censusLink.setSeeds(this->settings.census.reports.seeds);
         this->gateway.setExtraRequests(this->settings.gateway.extraRequests);
+        this->gateway.setWarmUpBounds(this->settings.gateway.warmUp);
         this->follower.setSettings(this->settings.follower);
         if (change->storeMoved) {
             this->follower.onStoreMoved();
@@ -519,6 +544,8 @@
     census::CensusLink censusLink;
     ReachabilityMap reach{};
     std::set<std::string, std::less<>> cutOffDataCentres{};
+    /// The leafs that are only assumed to be cold.
+    std::set<std::shared_ptr<KnownLeaf>> entriesAwaited{};
     PeerDemands peerDemands;
     /// Since when this host has reported unready because other hosts serve callers better.
     std::optional<absl::Time> unreadySince{};
--- a/packages/gateway/src/impl/gateway_core.h
+++ b/packages/gateway/src/impl/gateway_core.h
@@ -75,6 +75,8 @@
     metrics::CounterId leavingNotices{};
     metrics::CounterId backoffNotices{};
     metrics::CounterId foreignAnswers{};
+    metrics::CounterId coldLeafs{};
+    metrics::CounterId coldLeafsAvoided{};
 
     // Takes callers' requests in, with the configuration that is in force when they arrive.
     auto stateOf(const Operation &operation) -> OperationState *;
@@ -103,6 +105,10 @@
     [[nodiscard]] auto extraRequestOptions(const Work &work) const -> ExtraRequestOptions;
     [[nodiscard]] auto isReachable(const KnownLeaf &leaf) const -> bool;
     [[nodiscard]] auto isUsable(const KnownLeaf &leaf, absl::Time now) const -> bool;
+    /// Returns whether this host may send a leaf of a service a request as far as the leaf's warm-up is concerned. A permission is used up by ask().
+    [[nodiscard]] auto warmUpPermission(const KnownService &service, const KnownLeaf &leaf, absl::Time now) const -> WarmUpPermission;
+    /// Returns whether a service has another usable leaf that gets no request only since it is cold.
+    [[nodiscard]] auto avoidsColdLeaf(const Slot &slot, const KnownLeaf &chosen, absl::Time now) const -> bool;
     /// Returns when a service has a leaf that may be asked, as far as its leafs have said: `now` if it has one already, infinite if none is known.
     [[nodiscard]] auto acceptsRequestsFrom(const KnownService &service, absl::Time now) const -> absl::Time;
     /// Returns acceptsRequestsFrom() of each service that a request needs.
@@ -133,6 +139,8 @@
     auto onResult(const SharedWork &work, std::size_t at, std::size_t place, http::CallResult result) -> void;
     /// Cancels a slot's open requests at once: a leaf near its capacity still has them in its queue, and a new connection costs it less than the work on them.
     auto cancelOpenAttempts(Slot &slot) -> void;
+    /// Assumes that a leaf is cold if the connection to it failed, since it may have started again.
+    auto noteConnectionFailure(const std::shared_ptr<KnownLeaf> &leaf, const http::CallResult &result, absl::Time now) -> void;
     auto hedge(const SharedWork &work, std::size_t at, absl::Time now) -> void;
     auto decide(const SharedWork &work) -> void;
     auto setTimer(const SharedWork &work, absl::Time at) -> void;
--- a/packages/gateway/src/impl/leaf_requests.cpp
+++ b/packages/gateway/src/impl/leaf_requests.cpp
@@ -76,6 +76,12 @@
 {
     auto &slot = work->slots[at];
     const auto now = base::monotonicNow();
+    if (this->avoidsColdLeaf(slot, *leaf, now)) {
+        this->metrics.add(this->coldLeafsAvoided);
+    }
+    if (isCold(*leaf, now)) {
+        leaf->warmUpUsedAt = now;
+    }
     ++slot.service->roundRobinStart;
     const auto place = slot.attempts.size();
     slot.attempts.push_back({.leaf = leaf, .calledAt = now});
@@ -195,6 +201,7 @@
         }
         return;
     }
+    this->noteConnectionFailure(attempt.leaf, result, now);
     const auto lost = result.outcome != http::CallOutcome::Answered && !result.connectionHadResponse;
     condition = lost ? afterLostConnection(condition, now) : afterFailure(condition, now);
     work->lastFailure = result.outcome == http::CallOutcome::Answered ? absl::StrCat(attempt.leaf->entry.id, " status ", result.response.status)
@@ -230,6 +237,14 @@
     this->decide(work);
 }
 
+auto Gateway::Core::noteConnectionFailure(const std::shared_ptr<KnownLeaf> &leaf, const http::CallResult &result, absl::Time now) -> void
+{
+    // A single answer that is lost on a connection that worked before is no sign of a new start.
+    if (result.connectionFailed && (!result.connectionHadResponse || leaf->condition.consecutiveFailures > 0)) {
+        this->directory.assumeCold(leaf, now);
+    }
+}
+
 auto Gateway::Core::cancelOpenAttempts(Slot &slot) -> void
 {
     for (auto &attempt : slot.attempts) {
--- a/packages/gateway/src/impl/leaf_selection.cpp
+++ b/packages/gateway/src/impl/leaf_selection.cpp
@@ -52,13 +52,34 @@
     return acceptsRequests(leaf, now) && this->isReachable(leaf);
 }
 
+auto Gateway::Core::warmUpPermission(const KnownService &service, const KnownLeaf &leaf, absl::Time now) const -> WarmUpPermission
+{
+    if (service.warmUp.perSecond <= 0.0 || !isCold(leaf, now)) {
+        return {.granted = true, .from = now};
+    }
+    return decideWarmUp({.perSecond = service.warmUp.perSecond,
+                         .hosts = this->neighbourhood().warmUpHostCount,
+                         .phase = warmUpPhase(this->settings.hostName, leaf.entry.id, leaf.entry.startedAt),
+                         .bounds = this->settings.warmUp},
+                        leaf.warmUpUsedAt, now);
+}
+
+auto Gateway::Core::avoidsColdLeaf(const Slot &slot, const KnownLeaf &chosen, absl::Time now) const -> bool
+{
+    const auto &service = *slot.service;
+    return service.warmUp.perSecond > 0.0 && std::ranges::any_of(service.leafs, [&, this](const auto &leaf) {
+               return leaf.get() != &chosen && this->isUsable(*leaf, now) && !this->warmUpPermission(service, *leaf, now).granted;
+           });
+}
+
 auto Gateway::Core::acceptsRequestsFrom(const KnownService &service, absl::Time now) const -> absl::Time
 {
     auto from = absl::InfiniteFuture();
     for (const auto &leaf : service.leafs) {
         const auto backoffEnd = std::max(leaf->backoffUntil, now);
         if (acceptsRequests(*leaf, backoffEnd) && this->isReachable(*leaf)) {
-            from = std::min(from, backoffEnd);
+            const auto warmAt = std::max({leaf->warmingUpUntil, leaf->coldAssumedUntil, backoffEnd});
+            from = std::min(from, std::min(this->warmUpPermission(service, *leaf, backoffEnd).from, warmAt));
         }
     }
     return from;
@@ -135,7 +156,7 @@
                         .slots = leaf->entry.slots,
                         .sameDataCentre = leaf->entry.dataCentre == this->settings.dataCentre,
                         .warmingUp = now < leaf->warmingUpUntil,
-                        .excluded = tried || !this->isUsable(*leaf, now)});
+                        .excluded = tried || !this->isUsable(*leaf, now) || !this->warmUpPermission(*slot.service, *leaf, now).granted});
     }
     return list;
 }
@@ -159,7 +180,8 @@
         return false;
     }
     return std::ranges::any_of(slot.service->leafs, [this, &slot, now](const auto &leaf) {
-        return this->isUsable(*leaf, now) && now >= leaf->condition.suspectUntil && std::ranges::none_of(slot.attempts, [&leaf](const Attempt &attempt) {
+        return this->isUsable(*leaf, now) && now >= leaf->condition.suspectUntil && this->warmUpPermission(*slot.service, *leaf, now).granted
+            && std::ranges::none_of(slot.attempts, [&leaf](const Attempt &attempt) {
                    return attempt.leaf == leaf;
                });
     });
--- a/packages/gateway/src/impl/request_intake.cpp
+++ b/packages/gateway/src/impl/request_intake.cpp
@@ -60,6 +60,9 @@
         }
         next->resolved.emplace(&operation, std::move(resolved));
     }
+    for (const auto &[name, options] : next->catalogue->services) {
+        this->directory.service(name).warmUp = options.warmUp;
+    }
     this->published = std::move(next);
 }
 
--- a/packages/gateway/src/leaf_directory.cpp
+++ b/packages/gateway/src/leaf_directory.cpp
@@ -20,6 +20,11 @@
     return !leaf.entry.draining && !leaf.saidLeaving && now >= leaf.backoffUntil;
 }
 
+auto isCold(const KnownLeaf &leaf, absl::Time now) noexcept -> bool
+{
+    return now < leaf.warmingUpUntil || now < leaf.coldAssumedUntil;
+}
+
 auto isSameStart(const LeafEntry &one, const LeafEntry &other) -> bool
 {
     // Reports count anew from each start, so that a later entry with a lower number is another start's, whatever the clocks say.
@@ -43,6 +48,10 @@
         const auto leaf = found->second;
         const auto changed = leaf->entry.slots != entry.slots || leaf->removeAt != absl::InfiniteFuture();
         const auto startsDraining = entry.draining && !leaf->entry.draining;
+        const auto becomesCold = entry.warmUp > absl::ZeroDuration() && leaf->entry.warmUp <= absl::ZeroDuration();
+        if (entry.revision > leaf->entry.revision && now >= leaf->coldAssumedAt + maxEntryDelay) {
+            leaf->coldAssumedUntil = absl::InfinitePast();
+        }
         leaf->entry = entry;
         leaf->warmingUpUntil = now + entry.warmUp;
         leaf->removeAt = absl::InfiniteFuture();
@@ -51,6 +60,9 @@
         } else if (changed) {
             this->listener({.kind = DirectoryEvent::Kind::LeafChanged, .leaf = leaf});
         }
+        if (becomesCold) {
+            this->reportCold(leaf);
+        }
         return;
     }
     if (found != this->byId.end()) {
@@ -66,6 +78,9 @@
     this->byId.emplace(entry.id, leaf);
     this->service(entry.service).leafs.push_back(leaf);
     this->listener({.kind = DirectoryEvent::Kind::LeafAdded, .leaf = leaf});
+    if (entry.warmUp > absl::ZeroDuration()) {
+        this->reportCold(leaf);
+    }
 }
 
 auto LeafDirectory::remove(const std::string &id, absl::Time now, absl::Time removalTime) -> void
@@ -145,6 +160,27 @@
     return true;
 }
 
+auto LeafDirectory::assumeCold(const std::shared_ptr<KnownLeaf> &leaf, absl::Time now) -> void
+{
+    const auto limit = this->service(leaf->entry.service).warmUp;
+    if (limit.perSecond <= 0.0 || leaf->gone) {
+        return;
+    }
+    const auto wasAssumed = now < leaf->coldAssumedUntil;
+    leaf->coldAssumedAt = now;
+    leaf->coldAssumedUntil = limit.duration > absl::ZeroDuration() ? now + limit.duration : absl::InfiniteFuture();
+    if (!wasAssumed) {
+        this->reportCold(leaf);
+    }
+}
+
+auto LeafDirectory::reportCold(const std::shared_ptr<KnownLeaf> &leaf) -> void
+{
+    if (this->service(leaf->entry.service).warmUp.perSecond > 0.0) {
+        this->listener({.kind = DirectoryEvent::Kind::LeafCold, .leaf = leaf});
+    }
+}
+
 auto LeafDirectory::recordStatements(const KnownLeaf &leaf, absl::Time now) -> void
 {
     auto &start = this->statedStarts[leaf.entry.id];
--- a/packages/gateway/tests/directory_test.cpp
+++ b/packages/gateway/tests/directory_test.cpp
@@ -299,4 +299,70 @@
     EXPECT_EQ(index.find("g", "/a/b/c")->name, "other");
 }
 
+/// Leafs of a service that limits the requests to cold leafs.
+struct ColdLeafTest : Fixture
+{
+    ColdLeafTest()
+    {
+        this->directory.service("shard-1").warmUp = {.perSecond = 4.0, .duration = absl::Seconds(20)};
+    }
+
+    auto putRevision(std::uint64_t revision, absl::Duration warmUp, absl::Time at) -> std::shared_ptr<KnownLeaf>
+    {
+        auto entry = entryOf("a");
+        entry.revision = revision;
+        entry.sequence = revision;
+        entry.warmUp = warmUp;
+        this->directory.put(entry, at);
+        return this->directory.service("shard-1").leafs.front();
+    }
+};
+
+TEST_F(ColdLeafTest, EachTimeThatALeafBecomesColdIsReportedOnce)
+{
+    const auto leaf = this->putRevision(1, absl::Seconds(2), now);
+    EXPECT_TRUE(isCold(*leaf, now + absl::Seconds(1)));
+    this->putRevision(2, absl::Seconds(1), now + absl::Seconds(1));
+    this->putRevision(3, absl::ZeroDuration(), now + absl::Seconds(3));
+    EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(3)));
+    this->putRevision(4, absl::Seconds(5), now + absl::Seconds(4));
+    EXPECT_EQ(this->events, (std::vector{Kind::LeafAdded, Kind::LeafCold, Kind::LeafCold}));
+}
+
+// A leaf that had crashed and started again got its full share until its entry said that it was cold.
+TEST_F(ColdLeafTest, ALeafWhoseConnectionsFailIsColdUntilALaterEntryStatesOtherwise)
+{
+    const auto leaf = this->putRevision(1, absl::ZeroDuration(), now);
+    this->directory.assumeCold(leaf, now);
+    this->directory.assumeCold(leaf, now + absl::Milliseconds(100));
+    EXPECT_EQ(this->events, (std::vector{Kind::LeafAdded, Kind::LeafCold}));
+    // The same entry, read again, and one that may have been written before the connection failed.
+    this->putRevision(1, absl::ZeroDuration(), now + absl::Seconds(3));
+    this->putRevision(2, absl::ZeroDuration(), now + absl::Seconds(1));
+    EXPECT_TRUE(isCold(*leaf, now + absl::Seconds(3)));
+    this->putRevision(3, absl::ZeroDuration(), now + absl::Seconds(3));
+    EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(3)));
+}
+
+// Without entries, as while the store doesn't answer, a wrong assumption must end too.
+TEST_F(ColdLeafTest, TheAssumptionEndsWhenNoLeafOfTheServiceIsColdForSoLong)
+{
+    const auto leaf = this->putRevision(1, absl::ZeroDuration(), now);
+    this->directory.assumeCold(leaf, now);
+    EXPECT_TRUE(isCold(*leaf, now + absl::Seconds(19)));
+    EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(20)));
+}
+
+// Guards against limits that no configuration sets.
+TEST_F(LeafDirectoryTest, ALeafOfAServiceWithoutALimitIsNeverAssumedToBeCold)
+{
+    auto entry = entryOf("a");
+    entry.warmUp = absl::Seconds(1);
+    this->directory.put(entry, now);
+    const auto leaf = this->directory.service("shard-1").leafs.front();
+    this->directory.assumeCold(leaf, now + absl::Seconds(2));
+    EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(2)));
+    EXPECT_EQ(this->events, (std::vector{Kind::LeafAdded}));
+}
+
 } // namespace
--- a/packages/http/include/tamarackspan/http/stream_client.h
+++ b/packages/http/include/tamarackspan/http/stream_client.h
@@ -54,6 +54,8 @@
     std::string_view reason{};
     /// Whether the connection had carried a response before. If a connection ends without ever having done so, the server is down or at its connection limit.
     bool connectionHadResponse = false;
+    /// Whether the call failed because a connection to the server couldn't be opened or ended.
+    bool connectionFailed = false;
 };
 
 /// One request to a server, already serialised.
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -208,11 +208,11 @@
         return true;
     }
 
-    auto failWaiting(const SharedPool &pool, std::string_view reason) -> void
+    auto failWaiting(const SharedPool &pool, std::string_view reason, bool connectionFailed = false) -> void
     {
         for (const auto &entry : std::exchange(pool->waiting, {})) {
-            this->postIfAlive([this, call = entry.second, reason] {
-                this->finish(call, {.outcome = CallOutcome::NotSent, .reason = reason});
+            this->postIfAlive([this, call = entry.second, reason, connectionFailed] {
+                this->finish(call, {.outcome = CallOutcome::NotSent, .reason = reason, .connectionFailed = connectionFailed});
             });
         }
     }
@@ -413,14 +413,17 @@
         if (const auto call = std::exchange(connection->call, nullptr)) {
             const auto sent = connection->output.begun();
             this->finish(call,
-                         {.outcome = sent ? CallOutcome::Broken : CallOutcome::NotSent, .reason = reason, .connectionHadResponse = connection->hadResponse});
+                         {.outcome = sent ? CallOutcome::Broken : CallOutcome::NotSent,
+                          .reason = reason,
+                          .connectionHadResponse = connection->hadResponse,
+                          .connectionFailed = true});
         } else if (!connection->connected && !pool->waiting.empty()) {
             if (pool->connections.empty()) {
-                this->failWaiting(pool, reason);
+                this->failWaiting(pool, reason, true);
             } else {
                 const auto first = pool->waiting.begin()->second;
                 pool->waiting.erase(pool->waiting.begin());
-                this->finish(first, {.outcome = CallOutcome::NotSent, .reason = reason});
+                this->finish(first, {.outcome = CallOutcome::NotSent, .reason = reason, .connectionFailed = true});
             }
         }
         if (!pool->waiting.empty()) {
