--- a/packages/gateway/include/tamarackspan/gateway/ports.h
+++ b/packages/gateway/include/tamarackspan/gateway/ports.h
@@ -203,6 +203,8 @@
     std::function<void(std::uint64_t afterRevision, bool fresh, absl::Duration timeout, Callback)> changes;
     /// Sets whether replies to `changes` contain each report of a leaf, also one that repeats the report read before it. May be empty.
     std::function<void(bool)> setEveryReport{};
+    /// Makes the replies contain the next entry of a leaf also if it differs from the last only in its sequence; may be empty.
+    std::function<void(const std::string &leafId)> forgetLeaf{};
 };
 
 } // namespace tamarackspan::gateway
