review: Declare the va_list of the log in a form valid on x86-64

va_list is an array type on x86-64, so that auto arguments = va_list() doesn't compile there; on arm64 it is a struct. A plain declaration compiles on both. Nothing else under review/ changes.

Compiled with -Wall -Wextra -Werror on arm64; x86-64 not available here.

--- a/review/kit.h
+++ b/review/kit.h
@@ -87,7 +87,7 @@
                 continue;
             }
             std::fprintf(out, "%8.3f ", now());
-            auto arguments = va_list();
+            va_list arguments;
             va_start(arguments, format);
             std::vfprintf(out, format, arguments);
             va_end(arguments);
