http: Refuse invalid status lines in every reader

An answer with status 000, 099, 600, 999 or 20 was delivered as it was, a 101 that nobody asked for was skipped or waited for, and 1xx and 204 responses with a stated body, HTTP/2.0 over libcurl and a Status field in a chunked trailer counted as valid answers.

A status line must now have three digits from 100 to 599. MessageReader also refuses 101, bodies stated by 1xx and 204, and a Status trailer field. StreamClient ends a call as broken if a body follows a 204 or 304, and closes the connection. The client over libcurl applies the same rules, drops trailer fields, and reports a response that isn't valid as closed instead of as an invalid request.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -457,6 +457,7 @@
     core.connections.markEstablished(transfer.fd);
     core.loop.cancelTimer(std::exchange(transfer.connectTimer, 0));
     transfer.response.bytesMayHaveBeenSent = true;
+    transfer.part = impl::ResponsePart::StatusLine;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/packages/http/src/impl/message_syntax.h
+++ b/packages/http/src/impl/message_syntax.h
@@ -13,7 +13,7 @@
 class MessageSyntax
 {
 public:
-    /// Positioned before a message. For a request the first line is checked too.
+    /// Positioned before a message. The first line is checked too: the spaces and version of a request's, the version and status of a response's.
     explicit MessageSyntax(bool isRequest) noexcept;
 
     /// Checks the next bytes of the message. `isChunked` has to be right once the empty line after the header fields is among them. Returns false at the first
@@ -49,6 +49,7 @@
 
     [[nodiscard]] auto step(char byte, bool isChunked) noexcept -> bool;
     [[nodiscard]] auto stepInFirstLine(char byte) noexcept -> bool;
+    [[nodiscard]] auto stepInStatus(char byte) noexcept -> bool;
     [[nodiscard]] auto stepInChunkSize(char byte) noexcept -> bool;
     /// Goes on at `next` if `isExpected`. Returns `isExpected`.
     [[nodiscard]] auto advance(bool isExpected, Place next) noexcept -> bool;
@@ -57,6 +58,7 @@
     Place place = Place::Start;
     std::uint32_t spaces = 0;
     std::size_t versionBytes = 0;
+    std::uint32_t statusDigits = 0;
     std::uint32_t sizeDigits = 0;
     std::uint64_t chunkLeft = 0;
     std::size_t lineByteCount = 0;
--- a/packages/http/src/message_reader.cpp
+++ b/packages/http/src/message_reader.cpp
@@ -21,6 +21,9 @@
 constexpr auto extraLineBytes = std::size_t{4096};
 /// The parser's own limit, which holds for all messages of the process; those of the messages are checked here.
 constexpr auto maxParserBytes = std::uint32_t{1} << 30U;
+constexpr auto switchingStatus = std::uint32_t{101};
+/// A field by which a sender takes back, after the body, the status that it sent before; the response is then neither.
+constexpr auto trailerStatus = absl::string_view("Status");
 
 } // namespace
 
@@ -37,6 +40,8 @@
     std::size_t headerBytes = 0;
     bool headersDone = false;
     bool lastWasValue = false;
+    /// The name of the trailer field that is being read.
+    std::string trailerName{};
     bool interim = false;
     bool interimPassed = false;
     /// The interim responses before the current message.
@@ -65,6 +70,7 @@
         this->headerBytes = 0;
         this->headersDone = false;
         this->lastWasValue = false;
+        this->trailerName.clear();
         this->interim = false;
         this->endsWithConnection = false;
     }
@@ -96,6 +102,10 @@
         auto &core = self(parser);
         if (core.headersDone) {
             // Trailer fields are parsed and discarded.
+            if (std::exchange(core.lastWasValue, false)) {
+                core.trailerName.clear();
+            }
+            core.trailerName.append(at, size);
             return core.countHeader(size);
         }
         if (core.lastWasValue || core.message.headers.empty()) {
@@ -109,9 +119,12 @@
     static auto onValue(http_parser *parser, const char *at, std::size_t size) -> int
     {
         auto &core = self(parser);
+        core.lastWasValue = true;
         if (!core.headersDone) {
-            core.lastWasValue = true;
             core.message.headers.back().value.append(at, size);
+        } else if (core.kind == Kind::Response && absl::EqualsIgnoreCase(core.trailerName, trailerStatus)) {
+            core.state = State::Malformed;
+            return 1;
         }
         return core.countHeader(size);
     }
@@ -120,6 +133,8 @@
     {
         auto &core = self(parser);
         core.headersDone = true;
+        // The first field of a trailer begins a name.
+        core.lastWasValue = true;
         for (auto &header : core.message.headers) {
             absl::StripTrailingAsciiWhitespace(&header.value);
         }
@@ -129,6 +144,10 @@
             return -1;
         }
         const auto bodyless = core.kind == Kind::Response && (core.answersHead || isBodyless(parser->status_code));
+        if (core.kind == Kind::Response && !isAllowed(*parser)) {
+            core.state = State::Malformed;
+            return -1;
+        }
         if (bodyless) {
             // Otherwise the parser takes a response without a length for one that ends with its connection.
             parser->flags |= F_SKIPBODY;
@@ -154,6 +173,14 @@
         return bodyless ? 1 : 0;
     }
 
+    /// Returns whether a response may have its status: no protocol upgrade is ever requested, and where the status excludes a body none may be stated.
+    /// A 304 states the length of what it stands for.
+    static auto isAllowed(const http_parser &parser) -> bool
+    {
+        const auto statesBody = (parser.flags & F_CHUNKED) != 0 || (parser.content_length != UINT64_MAX && parser.content_length != 0);
+        return parser.status_code != switchingStatus && !(statesBody && (parser.status_code < 200 || parser.status_code == 204));
+    }
+
     static auto isBodyless(std::uint32_t status) -> bool
     {
         return status < 200 || status == 204 || status == 304;
--- a/packages/http/src/message_syntax.cpp
+++ b/packages/http/src/message_syntax.cpp
@@ -16,6 +16,10 @@
 constexpr auto versionText = std::string_view("HTTP/1.");
 /// The spaces in a request's first line.
 constexpr auto requestLineSpaces = std::uint32_t{2};
+/// A status has exactly this many digits, the first of which is its class. The parser itself takes any number up to 999.
+constexpr auto statusLength = std::uint32_t{3};
+constexpr auto firstStatusClass = '1';
+constexpr auto lastStatusClass = '5';
 
 auto isToken(char byte) noexcept -> bool
 {
@@ -119,17 +123,30 @@
 {
     this->place = Place::FirstLine;
     if (byte == '\r') {
-        return this->advance(this->versionBytes == versionText.size() + 1, Place::LineFeed);
+        return this->advance(this->versionBytes == versionText.size() + 1 && (this->isRequest || this->statusDigits == statusLength), Place::LineFeed);
     }
     const auto isInVersion = this->isRequest ? this->spaces == requestLineSpaces : this->spaces == 0;
     if (isInVersion && byte != ' ') {
         const auto at = this->versionBytes++;
         return at < versionText.size() ? byte == versionText[at] : at == versionText.size() && (byte == '0' || byte == '1');
     }
+    if (!this->isRequest && this->spaces == 1) {
+        return this->stepInStatus(byte);
+    }
     this->spaces += byte == ' ' ? 1 : 0;
     return isText(byte) && (!this->isRequest || (byte != '\t' && this->spaces <= requestLineSpaces));
 }
 
+auto MessageSyntax::stepInStatus(char byte) noexcept -> bool
+{
+    if (byte == ' ') {
+        ++this->spaces;
+        return this->statusDigits == statusLength;
+    }
+    const auto isClass = byte >= firstStatusClass && byte <= lastStatusClass;
+    return ++this->statusDigits <= statusLength && (this->statusDigits == 1 ? isClass : absl::ascii_isdigit(static_cast<unsigned char>(byte)));
+}
+
 auto MessageSyntax::stepInChunkSize(char byte) noexcept -> bool
 {
     if (byte == '\r' || byte == ';') {
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -325,7 +325,7 @@
             this->setBuffered(*connection, connection->reader.bufferedBytes());
             if (state == MessageReader::State::Complete) {
                 connection->closeAfterCall = connection->closeAfterCall || !bytes.empty();
-                this->deliver(connection, endpoint);
+                this->deliver(connection, endpoint, !bytes.empty());
             } else if (state != MessageReader::State::Reading) {
                 this->close(connection, "malformed or oversized response");
                 return;
@@ -352,10 +352,15 @@
     }
 
     /// Delivers a complete response to its call. Returns false, and leaves the call waiting, if the response isn't for that call.
-    auto deliver(const SharedConnection &connection, const transport::Endpoint &endpoint) -> bool
+    /// `isFollowed`: further bytes arrived after it, which a status without a body excludes; the call then ends as broken.
+    auto deliver(const SharedConnection &connection, const transport::Endpoint &endpoint, bool isFollowed = false) -> bool
     {
         auto response = connection->reader.take();
         this->setBuffered(*connection, 0);
+        if (isFollowed && (response.status == 204 || response.status == 304)) {
+            this->close(connection, "a body after a status that has none");
+            return true;
+        }
         const auto call = connection->call;
         if (call == nullptr || (call->call.matchesResponse && !call->call.matchesResponse(response))) {
             connection->closeAfterCall = true;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -1,5 +1,7 @@
 #include "transfer.h"
 
+#include "impl/message_syntax.h"
+
 #include "tamarackspan/base/require.h"
 
 #include "absl/strings/match.h"
@@ -94,23 +96,63 @@
     return std::string(absl::StripAsciiWhitespace(absl::string_view(text.data(), text.size())));
 }
 
+/// Makes libcurl end the transfer and close its connection.
+auto stopAsInvalid(Transfer &transfer) -> std::size_t
+{
+    transfer.stopReason = StopReason::InvalidResponse;
+    return 0;
+}
+
+/// Reads a status line; returns false if it isn't one of HTTP/1.0 or 1.1 with a status from 100 to 599 other than 101, since no upgrade is requested.
+/// libcurl itself accepts some others.
+auto beginResponse(Transfer &transfer, std::string_view line) -> bool
+{
+    constexpr auto statusAt = std::size_t{9};
+    constexpr auto statusSize = std::size_t{3};
+    constexpr auto switchingStatus = std::uint32_t{101};
+    transfer.response.headers.clear();
+    transfer.statesBody = false;
+    transfer.part = ResponsePart::Fields;
+    return MessageSyntax(false).check(line, false) && line.size() >= statusAt + statusSize
+        && absl::SimpleAtoi(absl::string_view(line.data() + statusAt, statusSize), &transfer.status) && transfer.status != switchingStatus;
+}
+
+/// Ends the fields of a response; returns false if they state a body that its status excludes.
+auto endFields(Transfer &transfer) -> bool
+{
+    const auto isInterim = transfer.status < 200;
+    transfer.part = isInterim ? ResponsePart::StatusLine : ResponsePart::Trailer;
+    return !transfer.statesBody || !(isInterim || transfer.status == 204);
+}
+
+auto isStatusField(std::string_view name) -> bool
+{
+    return absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()), "Status") || name.empty();
+}
+
 auto onHeader(char *data, std::size_t size, std::size_t count, void *user) -> std::size_t
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const auto line = std::string_view(data, size * count);
-    if (line.starts_with("HTTP/")) {
-        // A new response starts: the previous one was an interim response, or its connection closed and libcurl sent the request again.
-        transfer.response.headers.clear();
-        return line.size();
+    if (transfer.part == ResponsePart::StatusLine) {
+        return beginResponse(transfer, line) ? line.size() : stopAsInvalid(transfer);
+    }
+    if (transfer.part == ResponsePart::Fields && (line == "\r\n" || line == "\n")) {
+        return endFields(transfer) ? line.size() : stopAsInvalid(transfer);
     }
     const auto colon = line.find(':');
     if (colon == std::string_view::npos) {
         return line.size();
     }
     auto header = Header{.name = std::string(line.substr(0, colon)), .value = trimmed(line.substr(colon + 1))};
+    if (transfer.part == ResponsePart::Trailer) {
+        // Trailer fields are discarded; one with a status takes back the response's own.
+        return isStatusField(header.name) ? stopAsInvalid(transfer) : line.size();
+    }
     auto length = std::uint64_t{0};
-    if (absl::EqualsIgnoreCase(header.name, "Content-Length") && absl::SimpleAtoi(header.value, &length) && length > transfer.request.maxResponseBytes
-        && transfer.request.method != "HEAD") {
+    const auto isLength = absl::EqualsIgnoreCase(header.name, "Content-Length") && absl::SimpleAtoi(header.value, &length);
+    transfer.statesBody = transfer.statesBody || length > 0 || absl::EqualsIgnoreCase(header.name, "Transfer-Encoding");
+    if (isLength && length > transfer.request.maxResponseBytes && transfer.request.method != "HEAD") {
         transfer.stopReason = StopReason::TooLarge;
         return 0;
     }
@@ -201,6 +243,8 @@
     transfer.headers = makeHeaders(transfer.request);
     transfer.response = Response{};
     transfer.stopReason = StopReason::None;
+    transfer.part = ResponsePart::StatusLine;
+    transfer.status = 0;
     transfer.fd = -1;
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_URL, transfer.request.url.c_str());
@@ -221,19 +265,21 @@
 auto setOutcome(Transfer &transfer, CURLcode result) -> void
 {
     auto &response = transfer.response;
-    if (result == CURLE_OK) {
-        auto status = 0L;
-        curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (result == CURLE_OK && transfer.part == ResponsePart::Trailer) {
         response.outcome = Outcome::Ok;
-        response.status = static_cast<std::uint32_t>(status);
+        response.status = transfer.status;
         return;
     }
-    response.error = curl_easy_strerror(result);
+    // What was read of a response that isn't whole and valid is no answer.
+    response.headers.clear();
+    response.body.clear();
+    response.error = transfer.stopReason == StopReason::InvalidResponse || result == CURLE_OK ? "invalid response" : curl_easy_strerror(result);
     if (transfer.stopReason == StopReason::TooLarge) {
         response.outcome = Outcome::TooLarge;
     } else if (transfer.stopReason == StopReason::Expired) {
         response.outcome = Outcome::Timeout;
-    } else if (result == CURLE_URL_MALFORMAT || result == CURLE_UNSUPPORTED_PROTOCOL) {
+    } else if (!response.bytesMayHaveBeenSent && (result == CURLE_URL_MALFORMAT || result == CURLE_UNSUPPORTED_PROTOCOL)) {
+        // libcurl names an unsupported protocol for some status lines too.
         response.outcome = Outcome::InvalidRequest;
     } else {
         response.outcome = response.bytesMayHaveBeenSent ? Outcome::Closed : Outcome::ConnectFailed;
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -31,7 +31,7 @@
 using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
 using HeaderList = std::unique_ptr<curl_slist, HeaderListDeleter>;
 
-/// Why the client stopped a transfer. Only for TooLarge and Resend may bytes of the request have been sent.
+/// Why the client stopped a transfer. Only for TooLarge, InvalidResponse and Resend may bytes of the request have been sent.
 enum class StopReason {
     None,
     /// The pool was at its limit when libcurl wanted to open a connection.
@@ -44,6 +44,15 @@
     Expired,
     /// The response body is too long.
     TooLarge,
+    /// The response has a status line that HTTP/1.1 doesn't allow, a body where there is none, or a status in its trailer.
+    InvalidResponse,
+};
+
+/// The part of a response whose lines libcurl passes next.
+enum class ResponsePart {
+    StatusLine,
+    Fields,
+    Trailer,
 };
 
 /// A request that is being processed by the client.
@@ -70,6 +79,11 @@
     bool unassigned = false;
     bool preventResend = true;
     StopReason stopReason = StopReason::None;
+    ResponsePart part = ResponsePart::StatusLine;
+    /// The status of the response, or interim response, that is being read; 0 before one is.
+    std::uint32_t status = 0;
+    /// Whether the fields of that response state a body.
+    bool statesBody = false;
 };
 
 /// Returns whether the request can be sent: a known method, an http URL whose host is an IP address, and header fields without line breaks.
