Bound the answers that callers don't read

An answer stayed in the process until its caller read it or the idle timeout of up to 60 s passed, without any bound over connections, and a connection kept the memory of its largest answer while idle.

StreamServer now counts what it holds. Above the total the connection with the greatest product of bytes and time is closed; a connection above its own limit is closed once its caller reads nothing for a second. Buffers release what has been written. Counter tamarackspan_unread_answers_closed_total, gauge tamarackspan_unread_answer_bytes, a log line for each connection closed.

Tried in the http package only, not on whole hosts.

--- a/packages/gateway/include/tamarackspan/gateway/gateway_host.h
+++ b/packages/gateway/include/tamarackspan/gateway/gateway_host.h
@@ -9,6 +9,8 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -46,6 +48,8 @@
     transport::Endpoint metrics{};
     /// CPU that the host may use, in thousandths of a core.
     std::uint32_t capacity = 0;
+    /// Memory that the process may use, in bytes; 0 if the limit is unknown, so that nothing is bounded by it.
+    std::size_t memoryBytes = 0;
     census::CensusSettings census{};
     GatewaySettings gateway{};
     FollowerSettings follower{};
--- a/packages/gateway/src/gateway_host.cpp
+++ b/packages/gateway/src/gateway_host.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/base/random.h"
+#include "tamarackspan/gateway/decisions/memory_shares.h"
 #include "tamarackspan/gateway/decisions/pause_detector.h"
 #include "tamarackspan/gateway/leaf_directory.h"
 #include "tamarackspan/http/stream_client.h"
@@ -123,6 +124,10 @@
                         .onCallerDisconnected =
                             [this](http::ExchangeId id) {
                                 this->gateway.onCallerDisconnected(this->callerServer, id);
+                            },
+                        .onUnreadAnswer =
+                            [this](const http::UnreadAnswer &unread) {
+                                this->onUnreadAnswer("caller", unread);
                             }}),
           neighbourServer(loop, http::StreamServerLimits{},
                           {.onRequest =
@@ -133,6 +138,10 @@
                            .onCallerDisconnected =
                                [this](http::ExchangeId id) {
                                    this->gateway.onCallerDisconnected(this->neighbourServer, id);
+                               },
+                           .onUnreadAnswer =
+                               [this](const http::UnreadAnswer &unread) {
+                                   this->onUnreadAnswer("another host", unread);
                                }}),
           monitoringServer(loop, http::StreamServerLimits{},
                            {.onRequest =
@@ -157,6 +166,9 @@
               log),
           stamp(this->ports.settingsStamp())
     {
+        const auto shares = memoryShares(settings.memoryBytes);
+        this->callerServer.setUnreadAnswerLimits({.connectionBytes = shares.connectionAnswers, .totalBytes = shares.callerAnswers});
+        this->neighbourServer.setUnreadAnswerLimits({.connectionBytes = shares.connectionAnswers, .totalBytes = shares.neighbourAnswers});
     }
 
     auto start() -> bool
@@ -233,6 +245,13 @@
         return this->neighbourhood;
     }
 
+    auto onUnreadAnswer(std::string_view reader, const http::UnreadAnswer &unread) -> void
+    {
+        this->shard.add(this->unreadAnswers);
+        this->log.warning("an answer isn't read and takes too much memory; its connection is closed",
+                          {{"reader", reader}, {"bytes", unread.bytes}, {"ms", absl::ToInt64Milliseconds(unread.heldFor)}, {"total_bytes", unread.totalBytes}});
+    }
+
     auto ready() const -> bool
     {
         return !this->stopping && this->follower.complete() && !this->unreadySince.has_value();
@@ -372,6 +391,7 @@
             absl::StrAppend(&body, "tamarackspan_leaf_connections_opened_total ", this->client.connectionsOpened(), "\n", "tamarackspan_store_calls_total ",
                             this->follower.calls(), "\n", "tamarackspan_store_current_reads_total ", this->follower.currentReads(), "\n", this->knowledgeAge(),
                             "tamarackspan_requests_under_way ", this->gateway.inFlight(), "\n", "tamarackspan_known_leafs ", this->directory.size(), "\n",
+                            "tamarackspan_unread_answer_bytes ", this->callerServer.unreadBytes() + this->neighbourServer.unreadBytes(), "\n",
                             "tamarackspan_known_hosts ", this->census.quotaHostCount(base::monotonicNow()), "\n");
             this->monitoringServer.answer(id, {.status = 200, .headers = {{"Content-Type", metrics::prometheusContentType}}, .body = std::move(body)});
             return;
@@ -512,6 +532,7 @@
     metrics::MetricRegistry registry;
     metrics::MetricShard &shard;
     metrics::CounterId delayedStatements = shard.counter({.metric = "tamarackspan_delayed_statements_total", .labels = {}});
+    metrics::CounterId unreadAnswers = shard.counter({.metric = "tamarackspan_unread_answers_closed_total", .labels = {}});
     PauseDetector pauses;
     http::StreamClient client;
     LeafDirectory directory;
--- a/packages/http/include/tamarackspan/http/stream_server.h
+++ b/packages/http/include/tamarackspan/http/stream_server.h
@@ -60,6 +60,28 @@
     friend auto operator==(const StreamServerLimits &, const StreamServerLimits &) -> bool = default;
 };
 
+/// Bounds on the answers that callers haven't read yet and that the system's buffers don't take.
+struct UnreadAnswerLimits
+{
+    /// A connection that holds more than this, and from which the caller reads nothing for a second, is closed.
+    std::size_t connectionBytes = SIZE_MAX;
+    /// Above this sum the connection with the greatest product of bytes held and time held is closed, until the sum is within it.
+    std::size_t totalBytes = SIZE_MAX;
+
+    friend auto operator==(const UnreadAnswerLimits &, const UnreadAnswerLimits &) -> bool = default;
+};
+
+/// A connection that was closed since its caller didn't read its answer.
+struct UnreadAnswer
+{
+    std::size_t bytes = 0;
+    absl::Duration heldFor = absl::ZeroDuration();
+    /// The bytes that all connections of the server held before it was closed.
+    std::size_t totalBytes = 0;
+
+    friend auto operator==(const UnreadAnswer &, const UnreadAnswer &) -> bool = default;
+};
+
 /// Serves HTTP/1.1 on one event loop's thread, one request at a time on each connection. Detects callers that disconnect while their request is in progress.
 class StreamServer
 {
@@ -70,6 +92,8 @@
         std::function<void(ExchangeId, StreamMessage, RequestOrigin)> onRequest;
         /// The caller closed its connection before the response; answer() has no effect from now on.
         std::function<void(ExchangeId)> onCallerDisconnected;
+        /// A connection is closed since it holds too much of an answer; may be empty.
+        std::function<void(const UnreadAnswer &)> onUnreadAnswer{};
     };
 
     /// The loop must outlive the server.
@@ -96,6 +120,9 @@
     /// force then; a connection without a request is bound by the new idle timeout.
     auto setLimits(StreamServerLimits limits) -> void;
 
+    /// Sets the limits on answers that callers don't read; by default there are none.
+    auto setUnreadAnswerLimits(UnreadAnswerLimits limits) -> void;
+
     /// Sets whether each response from now on closes its connection, unless the caller has sent further requests ahead. Idle connections stay open, since a
     /// caller may be sending on them.
     auto setDraining(bool draining) -> void;
@@ -108,6 +135,9 @@
     [[nodiscard]] auto openConnections() const noexcept -> std::size_t;
     [[nodiscard]] auto unanswered() const noexcept -> std::size_t;
 
+    /// Returns how many bytes of answers are held for callers that haven't read them yet.
+    [[nodiscard]] auto unreadBytes() const noexcept -> std::size_t;
+
     /// Returns how many connections have a request without a response, or a response that isn't fully sent.
     [[nodiscard]] auto unfinished() const -> std::size_t;
 
--- a/packages/http/src/impl/output_buffer.h
+++ b/packages/http/src/impl/output_buffer.h
@@ -6,7 +6,7 @@
 
 namespace tamarackspan::http::impl {
 
-/// Bytes waiting to be written to a non-blocking socket.
+/// Bytes waiting to be written to a non-blocking socket. Memory of written bytes is released once they are more than half of a large buffer.
 class OutputBuffer
 {
 public:
@@ -27,10 +27,18 @@
 
     [[nodiscard]] auto empty() const noexcept -> bool;
 
+    /// Returns how many bytes are still to be written.
+    [[nodiscard]] auto pending() const noexcept -> std::size_t;
+
+    /// Returns how many bytes are held in memory: the pending ones and written ones that haven't been released yet.
+    [[nodiscard]] auto held() const noexcept -> std::size_t;
+
     /// Returns whether any byte has been written since construction.
     [[nodiscard]] auto begun() const noexcept -> bool;
 
 private:
+    auto release() -> void;
+
     std::string bytes;
     std::size_t written = 0;
     bool anyWritten = false;
--- a/packages/http/src/stream_server.cpp
+++ b/packages/http/src/stream_server.cpp
@@ -40,6 +40,8 @@
 constexpr auto continueStatus = std::uint32_t{100};
 constexpr auto processingStatus = std::uint32_t{102};
 constexpr auto noMemoryStatus = std::uint32_t{503};
+/// How long a caller may read nothing of an answer that is above the limit of its connection; a caller that reads it makes progress sooner.
+constexpr auto unreadGrace = absl::Seconds(1);
 
 /// Returns the round-trip time that the system measured on a connection; zero if it has measured none.
 auto roundTripOf(int fd) -> absl::Duration
@@ -82,6 +84,10 @@
         absl::Time lastSentAt = absl::InfiniteFuture();
         /// Bytes of the request that is being read.
         std::size_t buffered = 0;
+        /// What the output holds, as counted in the sum of all connections; since when it holds anything, and when the system last took some of it.
+        std::size_t unread = 0;
+        absl::Time unreadSince = absl::InfiniteFuture();
+        absl::Time lastWritten = absl::InfinitePast();
         /// The timeouts that were in force when the request that is being read began.
         absl::Duration headerTimeout = absl::InfiniteDuration();
         absl::Duration idleTimeout = absl::InfiniteDuration();
@@ -108,8 +114,10 @@
     ExchangeId lastExchange = 0;
     transport::TimerId sweepTimer = 0;
     bool draining = false;
-    /// Sum of `buffered` over all connections.
+    /// Sums of `buffered` and `unread` over all connections.
     std::size_t buffered = 0;
+    std::size_t unread = 0;
+    UnreadAnswerLimits unreadLimits{};
 
     Core(transport::EventLoop &loop, StreamServerLimits limits, Handlers handlers)
         : loop(loop),
@@ -294,12 +302,16 @@
             connection->output.append(answer.body);
         }
         this->flush(connection);
+        this->limitUnread();
     }
 
     /// Writes pending output. Returns false if the connection has failed and was closed.
     auto flush(const Shared &connection) -> bool
     {
-        switch (connection->output.writeTo(connection->fd)) {
+        const auto pending = connection->output.pending();
+        const auto progress = connection->output.writeTo(connection->fd);
+        this->countUnread(*connection, connection->output.pending() < pending);
+        switch (progress) {
         case impl::OutputBuffer::Progress::Failed:
             this->closeConnection(connection);
             return false;
@@ -320,6 +332,43 @@
         return true;
     }
 
+    auto countUnread(Connection &connection, bool hasWritten) -> void
+    {
+        const auto held = connection.output.held();
+        this->unread = this->unread - connection.unread + held;
+        if (held == 0) {
+            connection.unreadSince = absl::InfiniteFuture();
+        } else if (connection.unread == 0) {
+            connection.unreadSince = base::monotonicNow();
+        }
+        if (hasWritten || connection.unread == 0) {
+            connection.lastWritten = base::monotonicNow();
+        }
+        connection.unread = held;
+    }
+
+    /// Closes connections whose callers don't read their answers until all that is held is within the limit.
+    auto limitUnread() -> void
+    {
+        while (this->unread > this->unreadLimits.totalBytes) {
+            const auto now = base::monotonicNow();
+            const auto worst = std::ranges::max_element(this->connections, {}, [now](const auto &entry) {
+                const auto bytes = entry.second->unread;
+                const auto seconds = bytes == 0 ? 0.0 : absl::ToDoubleSeconds(now - entry.second->unreadSince);
+                return std::pair(static_cast<double>(bytes) * seconds, bytes);
+            });
+            this->closeUnread(Shared(worst->second), now);
+        }
+    }
+
+    auto closeUnread(const Shared &connection, absl::Time now) -> void
+    {
+        if (this->handlers.onUnreadAnswer) {
+            this->handlers.onUnreadAnswer({.bytes = connection->unread, .heldFor = now - connection->unreadSince, .totalBytes = this->unread});
+        }
+        this->closeConnection(connection);
+    }
+
     /// Goes on with the next request if none is in progress and all responses have been sent.
     auto resumeReading(const Shared &connection) -> void
     {
@@ -359,6 +408,8 @@
         ::close(connection->fd);
         this->connections.erase(connection->fd);
         this->setBuffered(*connection, 0);
+        connection->output = {};
+        this->countUnread(*connection, false);
         connection->fd = -1;
         if (const auto exchange = std::exchange(connection->exchange, 0); exchange != 0) {
             this->exchanges.erase(exchange);
@@ -370,7 +421,12 @@
     {
         const auto now = base::monotonicNow();
         auto expired = std::vector<Shared>();
+        auto unreadTooLong = std::vector<Shared>();
         for (const auto &[fd, connection] : this->connections) {
+            if (connection->unread > this->unreadLimits.connectionBytes && now - connection->lastWritten > unreadGrace) {
+                unreadTooLong.push_back(connection);
+                continue;
+            }
             if (connection->exchange != 0) {
                 continue;
             }
@@ -382,6 +438,9 @@
                 expired.push_back(connection);
             }
         }
+        for (const auto &connection : unreadTooLong) {
+            this->closeUnread(connection, now);
+        }
         for (const auto &connection : expired) {
             if (!connection->closing && connection->output.empty() && connection->reader.state() == MessageReader::State::Reading) {
                 connection->lastByte = now;
@@ -461,6 +520,16 @@
     this->core->limits = limits;
 }
 
+auto StreamServer::setUnreadAnswerLimits(UnreadAnswerLimits limits) -> void
+{
+    this->core->unreadLimits = limits;
+}
+
+auto StreamServer::unreadBytes() const noexcept -> std::size_t
+{
+    return this->core->unread;
+}
+
 auto StreamServer::setDraining(bool draining) -> void
 {
     this->core->draining = draining;
