tests: Bring about the requests that answers_leaving_test judges

Its checks on published leafs judge the requests that reach the leaf after the record that it leaves.

The record is now made while both hosts run, and the pause and publication follow once the leaf has received a request after it. That time counts towards the bound of 3 s, so that the check is as strict as before.

--- a/tests/answers/leaving_test.cpp
+++ b/tests/answers/leaving_test.cpp
@@ -16,6 +16,28 @@
     return {{"type", "leaving"}, {"leaf", leaf}, {"at", testkit::historyTime(base::monotonicNow())}};
 }
 
+/// Records that a leaf begins to leave, and returns once it has received a request after that: before hosts can learn of the change from a publication, so that
+/// the checker always has a request to judge. The time that this takes counts towards the bound within which hosts must stop.
+auto beginLeaving(Deployment &deployment, const std::string &leaf) -> void
+{
+    constexpr auto checkInterval = absl::Milliseconds(2);
+    constexpr auto timeout = absl::Seconds(1);
+    const auto record = leavingNow(leaf);
+    deployment.addRecord(record);
+    const auto giveUpAt = base::monotonicNow() + timeout;
+    while (base::monotonicNow() < giveUpAt) {
+        const auto history = deployment.fleet.leafHistory();
+        const auto received = std::any_of(history.begin(), history.end(), [&](const Json &request) {
+            return request["type"] == "leaf" && request["leaf"] == leaf && request["arrived"] > record["at"];
+        });
+        if (received) {
+            return;
+        }
+        absl::SleepFor(checkInterval);
+    }
+    ADD_FAILURE() << leaf << " received no request within " << timeout;
+}
+
 TEST(LeavingTest, APublishedLeafGetsNoNewWorkAfterThreeSeconds)
 {
     auto deployment = Deployment(2);
@@ -26,7 +48,7 @@
         absl::SleepFor(absl::Seconds(1));
         auto service = PublishedService();
         service.leaving = {1};
-        deployment.addRecord(leavingNow("l1"));
+        beginLeaving(deployment, "l1");
         deployment.publishService(service);
     });
     deployment.check({"leaving-leaf", "one-snapshot", "true-coverage"});
@@ -45,10 +67,11 @@
     first.timeout = absl::Seconds(6);
     deployment.drive(first, [&] {
         absl::SleepFor(absl::Seconds(1));
+        // Before the pause: afterwards the leaf may be the paused host's, and get nothing until the other host takes over.
+        beginLeaving(deployment, "l1");
         deployment.fleet.process(1).signal(SIGSTOP);
         auto service = PublishedService();
         service.leaving = {1};
-        deployment.addRecord(leavingNow("l1"));
         deployment.publishService(service);
         absl::SleepFor(absl::Milliseconds(3500));
         deployment.fleet.process(1).signal(SIGCONT);
