--- a/packages/gateway/src/impl/directory_event_name.h
+++ b/packages/gateway/src/impl/directory_event_name.h
@@ -16,6 +16,8 @@
         return "a leaf's entry has changed";
     case DirectoryEvent::Kind::LeafDraining:
         return "a leaf is about to leave";
+    case DirectoryEvent::Kind::LeafCold:
+        return "a leaf is cold; the requests to it are limited";
     case DirectoryEvent::Kind::LeafMissing:
         return "a leaf's entry is missing";
     case DirectoryEvent::Kind::LeafGone:
