Order the entry that ends an assumed cold start by era and revision

Cause: after a restore of the store a leaf's next entry may have a lower revision, so that a leaf that was assumed to be cold stayed so until its time was over. Change: era and revision together decide, as for all entries.

--- a/packages/gateway/src/leaf_directory.cpp
+++ b/packages/gateway/src/leaf_directory.cpp
@@ -84,7 +84,7 @@
         const auto changed = leaf->entry.slots != entry.slots || leaf->removeAt != absl::InfiniteFuture();
         const auto startsDraining = entry.draining && !leaf->entry.draining;
         const auto becomesCold = entry.warmUp > absl::ZeroDuration() && leaf->entry.warmUp <= absl::ZeroDuration();
-        if (entry.revision > leaf->entry.revision && now >= leaf->coldAssumedAt + maxEntryDelay) {
+        if (positionOf(entry) > positionOf(leaf->entry) && now >= leaf->coldAssumedAt + maxEntryDelay) {
             leaf->coldAssumedUntil = absl::InfinitePast();
         }
         leaf->entry = entry;
