--- a/packages/gateway/tests/directory_test.cpp
+++ b/packages/gateway/tests/directory_test.cpp
@@ -459,6 +459,20 @@
     EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(3)));
 }
 
+// A restored store assigns revisions again: an entry with a lower one kept the leaf cold.
+TEST_F(ColdLeafTest, TheAssumptionEndsWithAnEntryOfALaterEra)
+{
+    const auto leaf = this->putRevision(50, absl::ZeroDuration(), now);
+    this->directory.assumeCold(leaf, now);
+    this->directory.beginEra(1);
+    auto entry = entryOf("a");
+    entry.era = 1;
+    entry.revision = 7;
+    entry.sequence = 51;
+    this->directory.put(entry, now + absl::Seconds(3));
+    EXPECT_FALSE(isCold(*leaf, now + absl::Seconds(3)));
+}
+
 // Without entries, as while the store doesn't answer, a wrong assumption must end too.
 TEST_F(ColdLeafTest, TheAssumptionEndsWhenNoLeafOfTheServiceIsColdForSoLong)
 {
