--- a/packages/gateway/src/impl/host.cpp
+++ b/packages/gateway/src/impl/host.cpp
@@ -1,7 +1,5 @@
 #include "impl/host.h"
 
-#include "impl/directory_event_name.h"
-
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/base/random.h"
 #include "tamarackspan/gateway/decisions/memory_shares.h"
@@ -34,6 +32,26 @@
 /// Maximum size of the header fields that a host adds to a forwarded query.
 constexpr auto forwardedFieldBytes = std::size_t{1024};
 
+/// Returns the log message for a kind of change among the leafs.
+auto kindName(DirectoryEvent::Kind kind) -> std::string_view
+{
+    switch (kind) {
+    case DirectoryEvent::Kind::LeafAdded:
+        return "a leaf was added";
+    case DirectoryEvent::Kind::LeafChanged:
+        return "a leaf's entry has changed";
+    case DirectoryEvent::Kind::LeafDraining:
+        return "a leaf is about to leave";
+    case DirectoryEvent::Kind::LeafCold:
+        return "a leaf is cold; the requests to it are limited";
+    case DirectoryEvent::Kind::LeafMissing:
+        return "a leaf's entry is missing";
+    case DirectoryEvent::Kind::LeafGone:
+        return "a leaf is gone";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 Host::Host(transport::EventLoop &loop, const GatewayHostSettings &settings, GatewayPorts ports)
@@ -185,9 +203,10 @@
     const auto now = base::monotonicNow();
     if (now - this->neighbourhoodAt >= maxNeighbourhoodAge) {
         this->neighbourhoodAt = now;
-        this->neighbourhood = {.quotaHostCount = this->census.quotaHostCount(now),
+        const auto quotaHosts = this->census.quotaHostCount(now);
+        this->neighbourhood = {.quotaHostCount = quotaHosts,
                                .coordinatorCount = this->census.coordinatorCount(now),
-                               .warmUpHostCount = std::max(this->census.quotaHostCount(now), this->census.knownHostCount()),
+                               .warmUpHostCount = std::max(quotaHosts, this->census.knownHostCount()),
                                .countsAssumed = !this->census.isSettled(now),
                                .isCoordinator = this->census.isCoordinator(now),
                                .forwardingTargets = this->census.forwardingTargets(now)};
@@ -205,7 +224,9 @@
     this->loop.runAt(base::monotonicNow() + reachCheckInterval, [this] {
         this->pauses.tick(base::monotonicNow());
         this->checkReach();
-        this->applyEvacuations(afterOwnReads(this->evacuations, this->follower.knownUntil(), base::monotonicNow()));
+        if (!this->evacuations.empty()) {
+            this->applyEvacuations(afterOwnReads(this->evacuations, this->follower.knownUntil(), base::monotonicNow()));
+        }
         this->scheduleReachCheck();
     });
 }
@@ -248,7 +269,7 @@
 auto Host::onDirectoryEvent(const DirectoryEvent &event) -> void
 {
     const auto &entry = event.leaf->entry;
-    this->log.info(impl::kindName(event.kind),
+    this->log.info(kindName(event.kind),
                    {{"leaf", entry.id},
                     {"service", entry.service},
                     {"address", transport::toString(entry.endpoint)},
