--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-/// Below max_body_bytes of the configuration.
-constexpr auto requestBytes = std::size_t{260'000};
+/// About half of max_body_bytes of the configuration.
+constexpr auto requestBytes = std::size_t{128'000};
 constexpr auto answerBytes = std::size_t{3000};
 constexpr auto clients = 12;
 /// A segment and a window as on a network of 1,500-byte packets with small windows.
