--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -32,10 +32,11 @@
     const auto *const variant = std::getenv("TROUBLE");
     const auto slow = variant != nullptr && std::string(variant) == "slow";
     auto store = Store();
-    store.put("op/config",
-              R"({"version":3,"routes":[{"name":"pull","host":"h.example","prefix":"/pull/","route_type":"idempotent","timeout_ms":8000,"target_latency_ms":800,)"
-              R"("priority":2,"attempts":2,"service":"ledger"}],"services":[{"name":"ledger","max_conns":110,"health_path":"/health"}],)"
-              R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    store.put(
+        "op/config",
+        R"({"version":3,"routes":[{"name":"pull","host":"h.example","prefix":"/pull/","route_type":"idempotent","timeout_ms":8000,"target_latency_ms":800,)"
+        R"("priority":2,"attempts":2,"service":"ledger"}],"services":[{"name":"ledger","max_conns":110,"health_path":"/health"}],)"
+        R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
     auto crash = std::atomic<bool>(false);
     auto answering = std::atomic<int>(0);
     auto leaf = Leaf(
@@ -81,8 +82,8 @@
             const auto answer = host.ask("POST", "/pull/x", id, 8000, std::string(requestBytes, 'b'), 12.0);
             const auto whole = wholeAnswer(id);
             const auto isWhole = answer.message.body == whole;
-            record.line("client got %d for %s, stamp \"%s\", %zu bytes, after %.3f s%s", answer.status, id.c_str(), answer.message.field("server-stamp").c_str(),
-                        answer.message.body.size(), answer.took,
+            record.line("client got %d for %s, stamp \"%s\", %zu bytes, after %.3f s%s", answer.status, id.c_str(),
+                        answer.message.field("server-stamp").c_str(), answer.message.body.size(), answer.took,
                         answer.status == 200 && !isWhole ? " -- A SUCCESS WITHOUT THE LEAF'S WHOLE BODY" : "");
             served += answer.status == 200 && isWhole ? 1 : 0;
             wrong += answer.status == 200 && !isWhole ? 1 : 0;
--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -666,8 +666,8 @@
         const auto lock = std::lock_guard(this->mutex);
         return this->store.put("servers/" + this->id,
                                "{\"service\":\"" + this->service + "\",\"address\":\"127.0.0.1:" + std::to_string(this->server.port()) + "\",\"zone\":\""
-                                   + this->zone + "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state + "\",\"warmup_left_ms\":0,\"seq\":"
-                                   + std::to_string(++this->sequence) + ",\"born\":" + std::to_string(this->born) + "}");
+                                   + this->zone + "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state
+                                   + "\",\"warmup_left_ms\":0,\"seq\":" + std::to_string(++this->sequence) + ",\"born\":" + std::to_string(this->born) + "}");
     }
 
     Store &store;
