--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -715,6 +715,19 @@
 constexpr auto readyPort = 5;
 constexpr auto portsOfHost = 6;
 
+/// The bounds of a deployment that its settings state.
+struct Bounds
+{
+    int contactMs = 4000;
+    int ackMs = 5000;
+    int catchUpS = 4;
+    int drainMs = 3000;
+    int configApplyMs = 3000;
+    int maxSkewMs = 12000;
+    int retrySlack = 56;
+    int recoveryS = 12;
+};
+
 struct HostOptions
 {
     std::string name;
@@ -725,6 +738,8 @@
     double cpuShare = 0.25;
     std::vector<std::string> seeds{};
     int memoryMb = 260;
+    /// By default those of kolkhida-span.
+    Bounds bounds{};
 };
 
 /// One host of the system, started with the command of the deploy file.
@@ -753,16 +768,25 @@
             seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":" + std::to_string(o.firstPort + readyPort) + "\"";
         }
         std::fprintf(file,
-                     "node_name = \"%s\"\nrole = \"host\"\nmachine_class = \"front\"\nserves = [\"front\",\"control\"]\nip = \"%s\"\nzone = \"%s\"\nregion = "
-                     "\"imereti\"\ninternal_ports = [%d,%d]\nseeds = [%s]\nbootstrap = true\ncounts_as_loss = false\ndiscovery = \"platform\"\nentry = "
-                     "\"vip\"\nheartbeat_ms = 1200\n[zones]\nzone-a = \"imereti\"\nzone-b = \"imereti\"\n[listen]\nfront = \"%s:%d\"\nready_addr = "
-                     "\"%s:%d\"\n[limits]\ncpu_share = %g\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\n"
-                     "machines = 1\nzones = 1\nregions = 0\n[bounds]\nseed_lag_s = 3\naddr_reuse_s = 2\ncontact_ms = 4000\nack_ms = 5000\ncatch_up_s = "
-                     "4\ndrain_ms = 3000\ngrace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = 3000\nback_ms = 250\nmax_skew_ms = 12000\nretry_ratio = "
-                     "0.2\nretry_window_s = 10\nretry_slack = 56\nrecovery_s = 12\n[platform]\naddress = \"%s\"\nform = \"read\"\nwrites_per_s = "
-                     "400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\nmin_ttl_ms = 1000\n",
-                     o.name.c_str(), o.ip.c_str(), o.zone.c_str(), o.firstPort, o.firstPort + internalPorts - 1, seeds.c_str(), o.ip.c_str(),
-                     o.firstPort + frontPort, o.ip.c_str(), o.firstPort + readyPort, o.cpuShare, o.memoryMb, o.store.c_str());
+                     "node_name = \"%s\"\nrole = \"host\"\nmachine_class = \"front\"\nserves = [\"front\",\"control\"]\nip = \"%s\"\nzone = \"%s\"\n"
+                     "region = \"imereti\"\ninternal_ports = [%d,%d]\nseeds = [%s]\nbootstrap = true\ncounts_as_loss = false\ndiscovery = \"platform\"\n"
+                     "entry = \"vip\"\nheartbeat_ms = 1200\n[zones]\nzone-a = \"imereti\"\nzone-b = \"imereti\"\n",
+                     o.name.c_str(), o.ip.c_str(), o.zone.c_str(), o.firstPort, o.firstPort + internalPorts - 1, seeds.c_str());
+        std::fprintf(file,
+                     "[listen]\nfront = \"%s:%d\"\nready_addr = \"%s:%d\"\n[limits]\ncpu_share = %g\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\n"
+                     "link_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n",
+                     o.ip.c_str(), o.firstPort + frontPort, o.ip.c_str(), o.firstPort + readyPort, o.cpuShare, o.memoryMb);
+        const auto &bounds = o.bounds;
+        std::fprintf(file,
+                     "[bounds]\nseed_lag_s = 3\naddr_reuse_s = 2\ncontact_ms = %d\nack_ms = %d\ncatch_up_s = %d\ndrain_ms = %d\ngrace_s = 6\n"
+                     "loss_slack_ms = 200\nconfig_apply_ms = %d\nback_ms = 250\nmax_skew_ms = %d\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = %d\n"
+                     "recovery_s = %d\n",
+                     bounds.contactMs, bounds.ackMs, bounds.catchUpS, bounds.drainMs, bounds.configApplyMs, bounds.maxSkewMs, bounds.retrySlack,
+                     bounds.recoveryS);
+        std::fprintf(file,
+                     "[platform]\naddress = \"%s\"\nform = \"read\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\n"
+                     "min_ttl_ms = 1000\n",
+                     o.store.c_str());
         std::fclose(file);
     }
     void start()
