http: an answer without a length whose connection fails is never whole

Callers got 200 with half of the body, 12 of 12, and the same with TROUBLE=slow, where the leaf reads nothing for 4 s. Over shards half of a part was merged; a sound leaf beside the failed one wasn't asked.

Cause: the system reports a connection's error once. With bytes of the request still to be sent, one event says "writable" and "failed"; the client wrote first, the write took the error and dropped it, and the read after it returned 0, as after an orderly end, which completes an answer without a length.

Ruled out: the reader of messages, which completes such an answer only when told of an orderly end; the crash after the request had been sent (the read gets the error: rows ResetAfterSending held before).

Change: StreamClient reads before it writes, and keeps the error of a failed write; the end of the stream that is found after it counts as that error. The result of a call says how its connection ended; an answer that was cut off is logged with request, leaf, bytes and error, and counted. Why this works: an orderly end that came before a write is now always read before it, so an end that is read after a failed write can't be one.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -37,6 +37,7 @@
     this->core->coldLeafs = metrics.counter({.metric = "tamarackspan_cold_leafs_total", .labels = {}});
     this->core->coldLeafsAvoided = metrics.counter({.metric = "tamarackspan_cold_leafs_avoided_total", .labels = {}});
     this->core->foreignAnswers = metrics.counter({.metric = "tamarackspan_foreign_leaf_answers_total", .labels = {}});
+    this->core->cutOffAnswers = metrics.counter({.metric = "tamarackspan_cut_off_leaf_answers_total", .labels = {}});
     this->core->callersDisconnected = metrics.counter({.metric = "tamarackspan_callers_left_total", .labels = {}});
 }
 
--- a/packages/gateway/src/impl/gateway_core.h
+++ b/packages/gateway/src/impl/gateway_core.h
@@ -78,6 +78,7 @@
     metrics::CounterId leavingNotices{};
     metrics::CounterId backoffNotices{};
     metrics::CounterId foreignAnswers{};
+    metrics::CounterId cutOffAnswers{};
     metrics::CounterId coldLeafs{};
     metrics::CounterId coldLeafsAvoided{};
 
@@ -142,6 +143,8 @@
     /// Sends a slot's request to one more leaf if attempts and budget allow. Returns whether it did.
     auto askAnother(const SharedWork &work, std::size_t at) -> bool;
     auto onResult(const SharedWork &work, std::size_t at, std::size_t place, http::CallResult result) -> void;
+    /// Counts and logs an answer of a leaf whose connection ended before the answer did.
+    auto noteCutOffAnswer(const Work &work, const KnownLeaf &leaf, const http::CallResult &result) -> void;
     /// Cancels a slot's open requests at once: a leaf near its capacity still has them in its queue, and a new connection costs it less than the work on them.
     auto cancelOpenAttempts(Slot &slot) -> void;
     /// Assumes that a leaf is cold if the connection to it failed, since it may have started again.
--- a/packages/gateway/src/impl/leaf_requests.cpp
+++ b/packages/gateway/src/impl/leaf_requests.cpp
@@ -208,10 +208,11 @@
         return;
     }
     this->noteConnectionFailure(attempt.leaf, result, now);
+    this->noteCutOffAnswer(*work, *attempt.leaf, result);
     const auto lost = result.outcome != http::CallOutcome::Answered && !result.connectionHadResponse;
     condition = lost ? afterLostConnection(condition, now) : afterFailure(condition, now);
     work->lastFailure = result.outcome == http::CallOutcome::Answered ? absl::StrCat(attempt.leaf->entry.id, " status ", result.response.status)
-                                                                      : absl::StrCat(attempt.leaf->entry.id, " ", std::string(result.reason));
+                                                                      : absl::StrCat(attempt.leaf->entry.id, " ", http::failureText(result));
     if (verdict == LeafVerdict::WrongLeaf) {
         this->log.warning("another leaf answers at this address", {{"leaf", attempt.leaf->entry.id}, {"request", work->request.id}});
         this->directory.markReplaced(attempt.leaf);
@@ -251,6 +252,21 @@
     }
 }
 
+auto Gateway::Core::noteCutOffAnswer(const Work &work, const KnownLeaf &leaf, const http::CallResult &result) -> void
+{
+    if (!result.connectionEnd.has_value() || !http::isCutOff(*result.connectionEnd)) {
+        return;
+    }
+    const auto &end = *result.connectionEnd;
+    this->metrics.add(this->cutOffAnswers);
+    this->log.info("an answer of a leaf was cut off and is discarded",
+                   {{"request", work.request.id},
+                    {"leaf", leaf.entry.id},
+                    {"received_bytes", end.receivedBytes},
+                    {"unsent_bytes", end.unsentBytes},
+                    {"error", http::errorText(end)}});
+}
+
 auto Gateway::Core::cancelOpenAttempts(Slot &slot) -> void
 {
     for (auto &attempt : slot.attempts) {
--- a/packages/gateway/src/impl/query_forwarding.cpp
+++ b/packages/gateway/src/impl/query_forwarding.cpp
@@ -125,7 +125,7 @@
         return;
     }
     this->log.info("another host didn't answer a query",
-                   {{"request", work->request.id}, {"host", work->forwardedTo}, {"status", result.response.status}, {"reason", result.reason}});
+                   {{"request", work->request.id}, {"host", work->forwardedTo}, {"status", result.response.status}, {"reason", http::failureText(result)}});
     // The next step depends on whether that host asked leafs: one that acknowledged the query may have asked as many as the operation allows.
     if (result.outcome == http::CallOutcome::NotSent) {
         this->forwardOrAskLeafs(work);
--- a/packages/http/include/tamarackspan/http/stream_client.h
+++ b/packages/http/include/tamarackspan/http/stream_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackspan/http/connection_end.h"
 #include "tamarackspan/http/message_reader.h"
 #include "tamarackspan/transport/endpoint.h"
 #include "tamarackspan/transport/event_loop.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -41,7 +43,8 @@
     Answered,
     /// No byte of the request was written to a connection, so the server hasn't executed it.
     NotSent,
-    /// The connection ended or carried an invalid response after the server may have read the request.
+    /// The connection ended or carried an invalid response after the server may have read the request. A response without a length is complete only if the
+    /// server ends the connection in an orderly way; one whose connection fails, at either end, is not.
     Broken,
 };
 
@@ -56,8 +59,13 @@
     bool connectionHadResponse = false;
     /// Whether the call failed because a connection to the server couldn't be opened or ended.
     bool connectionFailed = false;
+    /// How the connection ended, if the server or the system ended it while the call was waiting for its response.
+    std::optional<ConnectionEnd> connectionEnd{};
 };
 
+/// Describes why a call has no response: its reason, with the system's error if there is one.
+[[nodiscard]] auto failureText(const CallResult &result) -> std::string;
+
 /// One request to a server, already serialised.
 struct Call
 {
--- a/packages/http/src/impl/output_buffer.h
+++ b/packages/http/src/impl/output_buffer.h
@@ -25,6 +25,9 @@
     /// Writes as much as the socket accepts; never raises SIGPIPE.
     [[nodiscard]] auto writeTo(int fd) -> Progress;
 
+    /// Returns the system's error (errno) of the first write that failed; 0 if none has.
+    [[nodiscard]] auto error() const noexcept -> int;
+
     [[nodiscard]] auto empty() const noexcept -> bool;
 
     /// Returns how many bytes are still to be written.
@@ -42,6 +45,7 @@
     std::string bytes;
     std::size_t written = 0;
     bool anyWritten = false;
+    int firstError = 0;
 };
 
 } // namespace tamarackspan::http::impl
--- a/packages/http/src/output_buffer.cpp
+++ b/packages/http/src/output_buffer.cpp
@@ -22,11 +22,16 @@
     while (this->written < this->bytes.size()) {
         const auto sent = ::send(fd, this->bytes.data() + this->written, this->bytes.size() - this->written, MSG_NOSIGNAL);
         if (sent < 0) {
-            if (errno == EINTR) {
+            const auto reported = errno;
+            if (reported == EINTR) {
                 continue;
             }
             this->release();
-            return errno == EAGAIN ? Progress::Blocked : Progress::Failed;
+            if (reported == EAGAIN) {
+                return Progress::Blocked;
+            }
+            this->firstError = this->firstError == 0 ? reported : this->firstError;
+            return Progress::Failed;
         }
         this->anyWritten = true;
         this->written += static_cast<std::size_t>(sent);
@@ -35,6 +40,11 @@
     return Progress::Done;
 }
 
+auto OutputBuffer::error() const noexcept -> int
+{
+    return this->firstError;
+}
+
 auto OutputBuffer::release() -> void
 {
     if (this->written == this->bytes.size()) {
--- a/packages/http/src/stream_client.cpp
+++ b/packages/http/src/stream_client.cpp
@@ -1,12 +1,14 @@
 #include "tamarackspan/http/stream_client.h"
 
 #include "impl/output_buffer.h"
+#include "impl/stream_error.h"
 
 #include "tamarackspan/base/clock.h"
 #include "tamarackspan/transport/socket.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 
@@ -237,7 +239,7 @@
         auto events = std::uint32_t{EPOLLIN | EPOLLRDHUP};
         switch (connection->output.writeTo(connection->fd)) {
         case impl::OutputBuffer::Progress::Failed:
-            // A response may already have arrived; the next read gets it, or the end of the stream.
+            // A response may already have arrived; the next read gets it, or the end of the stream, which the error of the write explains.
             break;
         case impl::OutputBuffer::Progress::Blocked:
             events |= EPOLLOUT;
@@ -274,12 +276,11 @@
             this->becomeFree(connection, endpoint);
             return;
         }
-        if ((events & EPOLLOUT) != 0) {
+        // Reads first: after a failed write an orderly end that came before it can't be told from a reset.
+        this->readSome(connection, endpoint);
+        if ((events & EPOLLOUT) != 0 && connection->fd >= 0) {
             this->flush(connection);
         }
-        if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-            this->readSome(connection, endpoint);
-        }
     }
 
     auto readSome(const SharedConnection &connection, const transport::Endpoint &endpoint) -> void
@@ -294,22 +295,29 @@
                 return;
             }
             if (got <= 0) {
-                if (got == 0) {
-                    connection->reader.endOfStream();
-                }
-                connection->closeAfterCall = true;
-                if (connection->reader.state() != MessageReader::State::Complete || !this->deliver(connection, endpoint)) {
-                    this->close(connection, got == 0 ? "connection closed" : "connection reset");
-                }
+                this->endStream(connection, endpoint, impl::streamError(got, errno, connection->output.error()));
                 return;
             }
             this->consume(connection, endpoint, std::string_view(buffer.data(), static_cast<std::size_t>(got)));
-            if (static_cast<std::size_t>(got) < buffer.size()) {
+            if (static_cast<std::size_t>(got) < buffer.size() && connection->output.empty()) {
                 return;
             }
         }
     }
 
+    /// Ends the response that is being read, after which nothing more arrives. `error`: see impl::streamError().
+    auto endStream(const SharedConnection &connection, const transport::Endpoint &endpoint, int error) -> void
+    {
+        if (error == 0) {
+            connection->reader.endOfStream();
+        }
+        connection->closeAfterCall = true;
+        if (connection->reader.state() != MessageReader::State::Complete || !this->deliver(connection, endpoint)) {
+            this->close(connection, error == 0 ? "connection closed" : "connection failed",
+                        ConnectionEnd{.systemError = error, .receivedBytes = connection->reader.bufferedBytes(), .unsentBytes = connection->output.pending()});
+        }
+    }
+
     auto consume(const SharedConnection &connection, const transport::Endpoint &endpoint, std::string_view bytes) -> void
     {
         while (!bytes.empty() && connection->fd >= 0) {
@@ -399,7 +407,7 @@
         this->dispatchWaiting(connection->pool, endpoint);
     }
 
-    auto close(const SharedConnection &connection, std::string_view reason) -> void
+    auto close(const SharedConnection &connection, std::string_view reason, const std::optional<ConnectionEnd> &end = std::nullopt) -> void
     {
         if (connection->fd < 0) {
             return;
@@ -421,7 +429,8 @@
                          {.outcome = sent ? CallOutcome::Broken : CallOutcome::NotSent,
                           .reason = reason,
                           .connectionHadResponse = connection->hadResponse,
-                          .connectionFailed = true});
+                          .connectionFailed = true,
+                          .connectionEnd = end});
         } else if (!connection->connected && !pool->waiting.empty()) {
             if (pool->connections.empty()) {
                 this->failWaiting(pool, reason, true);
@@ -478,6 +487,12 @@
     }
 };
 
+auto failureText(const CallResult &result) -> std::string
+{
+    const auto failed = result.connectionEnd.has_value() && result.connectionEnd->systemError != 0;
+    return absl::StrCat(std::string(result.reason), failed ? ": " + errorText(*result.connectionEnd) : std::string());
+}
+
 StreamClient::StreamClient(transport::EventLoop &loop, StreamClientOptions options)
     : core(std::make_unique<Core>(loop, options))
 {
