http tests: the server answers only once a request has begun to arrive

Traced with TCP_INFO and the list of sockets: the accepted connection had been closed by the client, and a second one was open. The test's server wrote its answer as soon as it had accepted; if that was before the client's loop took the new connection into use, the client closed it, as any connection that carries data before a request, and sent the request over a new one, which nobody answered.

The tests now wait for the first byte of the request; their checks are the same.

--- a/packages/http/tests/stream_end_test.cpp
+++ b/packages/http/tests/stream_end_test.cpp
@@ -127,7 +127,7 @@
 
     auto SetUp() -> void override
     {
-        this->client = std::make_unique<StreamClient>(this->thread.loop, StreamClientOptions{.unacknowledgedTimeout = shortTimeout});
+        this->client = std::make_unique<StreamClient>(this->thread.loop, StreamClientOptions{});
         this->thread.start();
     }
 
@@ -161,6 +161,13 @@
         return promise->get_future();
     }
 
+    /// Waits until a request has begun to arrive; the client closes a connection that carries anything before.
+    static auto awaitRequest(int fd) -> void
+    {
+        auto byte = char{0};
+        EXPECT_EQ(::recv(fd, &byte, 1, MSG_PEEK), 1);
+    }
+
     /// Ends the server's side of a connection.
     static auto end(int fd, Ending ending) -> void
     {
@@ -192,10 +199,17 @@
 {
     const auto &row = GetParam();
     const auto sending = isSending(row.ending);
+    if (row.ending == Ending::TimeOutWhileSending) {
+        this->thread.run([this] {
+            this->client = std::make_unique<StreamClient>(this->thread.loop, StreamClientOptions{.unacknowledgedTimeout = shortTimeout});
+        });
+    }
     auto result = this->call(sending ? longBody : 4, row.arrived == Arrived::WholeOfHead);
     const auto fd = this->listener.accept();
     ASSERT_GE(fd, 0);
-    if (!sending) {
+    if (sending) {
+        StreamEndTest::awaitRequest(fd);
+    } else {
         std::ignore = test::readMessage(fd);
     }
     if (row.ending == Ending::ResetAfterEnd) {
@@ -311,6 +325,7 @@
 {
     auto first = this->call(longBody, false);
     const auto early = this->listener.accept();
+    StreamEndTest::awaitRequest(early);
     test::sendAll(early, bytesOf(Arrived::WholeLength));
     EXPECT_EQ(first.get().outcome, CallOutcome::Answered);
     auto second = this->call(4, false);
@@ -360,6 +375,7 @@
             auto result = loop.send(test::requestTo(listener.port(), "POST", "/", std::string(bodyBytes, 'b')));
             const auto fd = listener.accept();
             ASSERT_GE(fd, 0);
+            StreamEndTest::awaitRequest(fd);
             if (bodyBytes != longBody) {
                 std::ignore = test::readMessage(fd);
             }
